--- /dev/null
+++ b/include/plantainpoint/relay.hpp
@@ -0,0 +1,264 @@
+// inputs and outputs of the relay core: requests whose bodies are opaque, forwarded to endpoints that a directory announces
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "plantainpoint/clock.hpp"
+#include "plantainpoint/commands.hpp"
+#include "plantainpoint/relay_config.hpp"
+
+namespace plantainpoint {
+
+// identifies one dispatch on this VM
+using attempt_number = std::uint64_t;
+
+// ---- inputs
+
+// size of a model request, as the caller states it
+struct token_count {
+    std::int64_t prompt = 0;
+    std::int64_t output = 0; // at most
+
+    std::int64_t total() const { return prompt + output; }
+};
+
+// the parts of a request that every attempt repeats
+struct relay_payload {
+    std::string id; // of the caller; echoed by the endpoint
+    std::string method;
+    std::string target; // path and query, byte for byte
+    std::string host;
+    std::vector<header> headers; // end-to-end headers that the caller may set
+    std::string body;
+};
+
+struct relay_request {
+    caller_id caller = 0;
+    std::shared_ptr<const relay_payload> payload;
+    std::optional<key_digest> key;
+    duration patience{}; // how long the caller waits
+    std::optional<token_count> tokens; // model requests only
+    std::optional<std::uint64_t> resumeAfter; // last event that the caller has
+};
+
+enum class reply_end : std::uint8_t {
+    Complete,
+    NotSent, // no byte of the request left this VM
+    Broken, // the connection ended early, or the bytes are no answer to this request
+    TimedOut,
+};
+
+constexpr std::string_view nameOf(reply_end value)
+{
+    constexpr std::string_view names[]{"complete", "not_sent", "broken", "timed_out"};
+    return names[static_cast<std::size_t>(value)];
+}
+
+// running and waiting requests at an endpoint, as it reports them
+struct reported_load {
+    std::int32_t running = 0;
+    std::int32_t waiting = 0;
+};
+
+// a whole answer that is not a stream of events
+struct relay_reply {
+    attempt_number attempt = 0;
+    int status = 0;
+    std::vector<header> headers;
+    std::string body;
+    bool genuine = false; // carries the endpoint's stamp
+    bool notRun = false; // the endpoint states that it has not run the request
+    bool wrongEndpoint = false; // another endpoint has the address
+    std::optional<reported_load> load;
+};
+
+// the prompt has been read; the result waits for the decode endpoint
+struct prefill_reply {
+    attempt_number attempt = 0;
+    std::string handle;
+};
+
+struct stream_head {
+    attempt_number attempt = 0;
+    int status = 200;
+    std::vector<header> headers;
+    std::optional<reported_load> load;
+};
+
+struct stream_part {
+    attempt_number attempt = 0;
+    std::string bytes;
+};
+
+// end of a stream, or of an attempt that got no answer
+struct relay_end {
+    attempt_number attempt = 0;
+    reply_end end = reply_end::Complete;
+};
+
+struct configuration_read {
+    std::shared_ptr<const relay_config> config;
+};
+
+// state of the endpoint directory. an entry without a value in `changed` was withdrawn.
+struct directory_read {
+    struct entry {
+        endpoint_name name;
+        std::optional<relay_endpoint> value;
+    };
+    std::vector<entry> changed;
+    bool whole = false; // names that are missing are withdrawn
+    std::uint64_t position = 0; // the reader has seen everything before it
+};
+
+// the directory has not answered for a while, or answers again
+struct directory_reachable {
+    bool reachable = true;
+};
+
+// work that a VM has at an endpoint
+struct endpoint_load {
+    endpoint_name endpoint;
+    std::int32_t running = 0;
+    std::int64_t prefillTokens = 0; // not read yet
+    std::int64_t kvTokens = 0;
+
+    bool operator==(const endpoint_load &) const = default;
+};
+
+// units of an account's limit that a VM has admitted since its start, refunds taken off
+struct account_usage {
+    account_name account;
+    double admitted = 0;
+
+    bool operator==(const account_usage &) const = default;
+};
+
+// periodic message between VMs
+struct fleet_beat {
+    incarnation_id from;
+    std::uint64_t sequence = 0;
+    std::string address; // IP:PORT for beats and state transfer
+    std::uint64_t configVersion = 0;
+    std::uint64_t directoryPosition = 0;
+    bool leaving = false;
+    std::vector<endpoint_load> loads;
+    std::vector<account_usage> usage;
+};
+
+// VMs that have announced themselves in the directory
+struct members_read {
+    struct member {
+        vm_name vm;
+        std::string address;
+    };
+    std::vector<member> members;
+};
+
+using relay_input = std::variant<relay_request,
+                                 caller_gone,
+                                 relay_reply,
+                                 prefill_reply,
+                                 stream_head,
+                                 stream_part,
+                                 relay_end,
+                                 configuration_read,
+                                 directory_read,
+                                 directory_reachable,
+                                 fleet_beat,
+                                 members_read,
+                                 shutdown_requested>;
+
+// ---- outputs
+
+enum class dispatch_kind : std::uint8_t {
+    Plain,
+    Prefill, // read the prompt only
+    Decode, // make tokens, from a prefill result or from the prompt
+};
+
+constexpr std::string_view nameOf(dispatch_kind value)
+{
+    constexpr std::string_view names[]{"plain", "prefill", "decode"};
+    return names[static_cast<std::size_t>(value)];
+}
+
+struct prefill_source {
+    std::string address; // of the prefill endpoint
+    std::string handle;
+};
+
+struct relay_dispatch {
+    attempt_number attempt = 0;
+    dispatch_kind kind = dispatch_kind::Plain;
+    endpoint_name endpoint;
+    std::string address;
+    std::shared_ptr<const relay_payload> payload;
+    account_name account; // empty on open routes
+    std::int32_t priority = 5;
+    duration timeLeft{}; // until the caller gives up
+    bool streamed = false;
+    std::optional<prefill_source> source;
+    std::optional<std::uint64_t> resumeAfter;
+};
+
+// closes the connection of the attempt; nothing of it arrives any more
+struct relay_abort {
+    attempt_number attempt = 0;
+};
+
+// frees a prefill result that nobody will fetch
+struct release_prefill {
+    prefill_source source;
+};
+
+struct answer_stream_head {
+    caller_id caller = 0;
+    int status = 200;
+    std::vector<header> headers;
+};
+
+struct answer_stream_bytes {
+    caller_id caller = 0;
+    std::string bytes;
+};
+
+struct answer_stream_end {
+    caller_id caller = 0;
+};
+
+// the answer cannot be finished: the caller's connection ends in a way that does not look complete
+struct answer_broken {
+    caller_id caller = 0;
+};
+
+struct send_beat {
+    std::string address;
+    std::shared_ptr<const fleet_beat> beat;
+};
+
+// asks a VM for the configuration and directory that it has
+struct fetch_fleet_state {
+    std::string address;
+};
+
+using relay_command = std::variant<answer_plain,
+                                   answer_failure,
+                                   answer_stream_head,
+                                   answer_stream_bytes,
+                                   answer_stream_end,
+                                   answer_broken,
+                                   relay_dispatch,
+                                   relay_abort,
+                                   release_prefill,
+                                   send_beat,
+                                   fetch_fleet_state,
+                                   log_line,
+                                   stopped>;
+
+} // namespace plantainpoint
--- a/shell/admin_server.hpp
+++ b/shell/admin_server.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 
 #include <absl/status/status.h>
@@ -24,6 +26,8 @@
     std::function<nlohmann::json()> audit;
     std::function<nlohmann::json(const request_label &)> explain; // empty: not recorded
     std::function<bool()> ready;
+    // further pages by path; a page without text answers 503
+    std::map<std::string, std::function<std::optional<std::string>()>, std::less<>> pages;
 };
 
 class admin_server
--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -21,6 +21,18 @@
 // size line of a chunk, filled in when the chunk is closed
 constexpr std::string_view chunkSizeSpace = "00000000\r\n";
 
+// callers of a relay take fractions of a second
+std::string retryAfterText(duration time, request_form form)
+{
+    constexpr std::int64_t millisPerSecond = 1000;
+    if (form == request_form::Completion) {
+        return std::to_string(std::max<std::int64_t>(std::chrono::ceil<std::chrono::seconds>(time).count(), 1));
+    }
+    const auto millis = std::chrono::ceil<std::chrono::milliseconds>(time).count();
+    const auto fraction = std::to_string(millisPerSecond + millis % millisPerSecond);
+    return std::to_string(millis / millisPerSecond) + '.' + fraction.substr(1);
+}
+
 std::string_view reasonOf(int status)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -29,11 +41,16 @@
 
 } // namespace
 
-void caller_session::writeHead(int status, std::string_view contentType, std::size_t length)
+void caller_session::writeStatus(int status)
 {
     m_pending += "HTTP/1.1 " + std::to_string(status) + ' ';
     m_pending += reasonOf(status);
     m_pending += "\r\n";
+}
+
+void caller_session::writeHead(int status, std::string_view contentType, std::size_t length)
+{
+    writeStatus(status);
     if (!contentType.empty()) {
         m_pending += "Content-Type: ";
         m_pending += contentType;
@@ -58,8 +75,7 @@
     const int status = entryOf(answer.reason).httpStatus;
     writeHead(status, "application/problem+json", body.size());
     if (answer.retryAfter) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*answer.retryAfter).count();
-        m_pending += "Retry-After: " + std::to_string(std::max<std::int64_t>(seconds, 1)) + "\r\n";
+        m_pending += "Retry-After: " + retryAfterText(*answer.retryAfter, m_host.form()) + "\r\n";
     }
     if (status == static_cast<int>(http::status::unauthorized)) {
         m_pending += "WWW-Authenticate: Bearer\r\n";
@@ -123,7 +139,7 @@
 // the terminal answer is in the buffer
 void caller_session::finish(int status)
 {
-    if (m_request->events && m_chunked) {
+    if ((m_request->events || m_request->relayed) && m_chunked) {
         closeChunk();
         m_pending += "0\r\n\r\n";
     }
--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -178,10 +178,11 @@
         refuse(failure::TooManyConnections, "too many open connections with this key");
         return;
     }
-    request.headers = forwardedRequestHeaders(message);
+    const bool opaque = m_host.form() == request_form::Opaque;
+    request.headers = opaque ? endToEndRequestHeaders(message) : forwardedRequestHeaders(message);
     request.idempotencyKey = view(message["Idempotency-Key"]);
     request.body = std::move(message.body());
-    if (!takeCompletion(request)) {
+    if (!opaque && !takeCompletion(request)) {
         return;
     }
     m_caller = m_host.open(*this);
@@ -306,11 +307,69 @@
     for (const auto &each : answer.headers) {
         m_pending += each.name + ": " + each.value + "\r\n";
     }
-    m_pending += "X-Request-Id: " + toString(answer.label) + "\r\n\r\n";
+    if (m_host.form() == request_form::Completion) {
+        m_pending += "X-Request-Id: " + toString(answer.label) + "\r\n";
+    }
+    m_pending += "\r\n";
     if (!m_request->headOnly) {
         m_pending += answer.body;
     }
     finish(answer.status);
 }
 
+void caller_session::streamHead(const answer_stream_head &answer)
+{
+    m_request->relayed = true;
+    writeStatus(answer.status);
+    for (const auto &each : answer.headers) {
+        m_pending += each.name + ": " + each.value + "\r\n";
+    }
+    // HTTP/1.0 has no chunks: the end of the connection ends the answer
+    m_keepAlive = m_keepAlive && m_chunked;
+    if (!m_keepAlive) {
+        m_pending += "Connection: close\r\n";
+    }
+    m_pending += m_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+    flushLater();
+}
+
+void caller_session::streamBytes(std::string_view bytes)
+{
+    // an empty chunk would end the answer
+    if (bytes.empty()) {
+        return;
+    }
+    if (!m_request->hasToken) {
+        m_request->hasToken = true;
+        m_host.firstTokenAfter(steady::now() - m_request->receivedAt);
+    }
+    m_host.tokenWritten();
+    openChunk();
+    m_pending += bytes;
+    if (m_pending.size() > m_host.limits().outputBuffer) {
+        m_host.slowCaller();
+        close();
+        return;
+    }
+    flushLater();
+}
+
+void caller_session::streamEnd()
+{
+    finish(static_cast<int>(http::status::ok));
+}
+
+void caller_session::breakOff()
+{
+    m_keepAlive = false;
+    closeChunk();
+    // without chunks only a reset tells the caller that bytes are missing
+    if (!m_chunked || !m_request->relayed) {
+        close();
+        return;
+    }
+    m_request->relayed = false;
+    finish(static_cast<int>(http::status::ok));
+}
+
 } // namespace plantainpoint
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -14,13 +14,18 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "completion_api.hpp"
-#include "plantainpoint/commands.hpp"
+#include "plantainpoint/relay.hpp"
 #include "settings.hpp"
 
 namespace plantainpoint {
 
 class caller_session;
 
+enum class request_form : std::uint8_t {
+    Completion, // completion calls are parsed; other requests go to plain services
+    Opaque, // every request is passed on as it came
+};
+
 // what a session needs of its server
 class session_host
 {
@@ -28,6 +33,8 @@
     virtual ~session_host() = default;
 
     virtual const server_limits &limits() const = 0;
+    // what requests look like on this server
+    virtual request_form form() const = 0;
     // a key for which the session counts from now on; false: it has too many connections
     virtual bool countKey(const key_digest &key) = 0;
     virtual void uncountKey(const key_digest &key) = 0;
@@ -60,6 +67,11 @@
     void done(const answer_done &answer);
     void failed(const answer_failure &answer);
     void plain(const answer_plain &answer);
+    void streamHead(const answer_stream_head &answer);
+    void streamBytes(std::string_view bytes);
+    void streamEnd();
+    // the connection ends so that the answer does not look whole
+    void breakOff();
     // ends what has been idle for too long
     void sweep(std::chrono::steady_clock::time_point now);
     void close();
@@ -97,6 +109,7 @@
         bool stream = false;
         bool hasToken = false;
         bool headOnly = false;
+        bool relayed = false; // a stream of opaque bytes has begun
     };
 
     void readMore();
@@ -110,6 +123,7 @@
     void refuse(failure reason, std::string_view detail);
 
     void beginStream();
+    void writeStatus(int status);
     void writeHead(int status, std::string_view contentType, std::size_t length);
     void writeProblem(const answer_failure &answer);
     void finish(int status);
--- a/shell/client_connection.cpp
+++ b/shell/client_connection.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <charconv>
+
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -18,16 +21,17 @@
 
 namespace {
 
-constexpr auto connectTimeout = std::chrono::seconds{1};
+constexpr auto idleMargin = std::chrono::milliseconds{500}; // a close that is on its way must not meet a request
 constexpr std::size_t smallRead = 4 * 1024UL; // bytes; holds some tens of tokens
 constexpr std::size_t largeRead = 64 * 1024UL; // bytes; after a small read was filled
 constexpr std::size_t keptBuffer = 16 * 1024UL; // bytes kept by an idle connection
 
 } // namespace
 
-client_connection::client_connection(asio::io_context &io, std::weak_ptr<connection_pool> pool, std::string address)
+client_connection::client_connection(asio::io_context &io, std::weak_ptr<connection_pool> pool, std::string address, const http_client_options &options)
     : m_pool(std::move(pool))
     , m_address(std::move(address))
+    , m_options(options)
     , m_socket(io)
     , m_timer(io)
     , m_readSize(smallRead)
@@ -56,6 +60,7 @@
     m_parser->body_limit(m_call->maxBody);
     m_parser->skip(m_call->request.method() == http::verb::head);
     m_headSeen = false;
+    m_skipping = false;
 }
 
 void client_connection::connect()
@@ -65,7 +70,12 @@
         asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(transfer_end::ConnectFailed); });
         return;
     }
-    setDeadline(m_startedAt + std::min<steady_clock::duration>(connectTimeout, m_call->timeout));
+    setDeadline(m_startedAt + std::min<steady_clock::duration>(m_options.connectTimeout, m_call->timeout));
+    boost::system::error_code opened;
+    m_socket.open(endpoint->protocol(), opened);
+    if (!opened) {
+        limitUnconfirmed();
+    }
     m_socket.async_connect(*endpoint, [self = shared_from_this()](const boost::system::error_code &error) { self->onConnected(error); });
 }
 
@@ -123,10 +133,10 @@
     }
     if (error) {
         boost::beast::error_code atEnd;
-        if (error == asio::error::eof && m_headSeen) {
+        if (error == asio::error::eof && m_headSeen && !m_skipping) {
             m_parser->put_eof(atEnd);
         }
-        if (m_headSeen && m_parser->is_done() && !atEnd) {
+        if (m_headSeen && !m_skipping && m_parser->is_done() && !atEnd) {
             complete();
         } else {
             fail(transfer_end::Closed);
@@ -163,6 +173,9 @@
         if (!m_headSeen && m_receiver && m_parser->is_header_done()) {
             onHead();
         }
+        if (m_skipping && m_parser->is_done()) {
+            newParser();
+        }
     }
     return m_receiver != nullptr;
 }
@@ -176,12 +189,16 @@
     }
     m_headSeen = true;
     m_parser->eager(true);
+    if (m_call->accepts && !m_call->accepts(m_parser->get())) {
+        m_skipping = true;
+        return;
+    }
     m_receiver->onHead(static_cast<int>(status), m_parser->get());
 }
 
 void client_connection::onBodyPart(std::string_view part)
 {
-    if (m_receiver) {
+    if (m_receiver && !m_skipping) {
         m_receiver->onBody(part);
     }
 }
@@ -217,6 +234,36 @@
     fail(m_bytesLeft ? transfer_end::TimedOut : transfer_end::ConnectFailed);
 }
 
+// timeout=SECONDS of the Keep-Alive header
+void client_connection::readIdleLimit()
+{
+    const auto value = m_parser->get()[http::field::keep_alive];
+    const std::string_view text{value.data(), value.size()};
+    constexpr std::string_view name = "timeout=";
+    const auto at = text.find(name);
+    int seconds = 0;
+    if (at == std::string_view::npos || std::from_chars(text.data() + at + name.size(), text.data() + text.size(), seconds).ec != std::errc{}) {
+        return;
+    }
+    m_idleLimit = std::chrono::seconds{seconds} - idleMargin;
+}
+
+// a peer that is gone without a word is noticed while bytes to it are open, and by probes while only an answer is awaited
+void client_connection::limitUnconfirmed()
+{
+    const auto limit = static_cast<int>(m_options.unconfirmedTimeout.count());
+    if (limit <= 0) {
+        return;
+    }
+    constexpr int probeSeconds = 1; // least that the system allows
+    const auto set = [&](int level, int option, int value) { ::setsockopt(m_socket.native_handle(), level, option, &value, sizeof value); };
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, limit);
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, 2);
+}
+
 void client_connection::complete()
 {
     const auto self = shared_from_this();
@@ -229,6 +276,7 @@
         }
         m_readSize = smallRead;
         m_idleSince = steady_clock::now();
+        readIdleLimit();
         m_parser.reset();
         m_call.reset();
         if (!m_reading) {
--- a/shell/client_connection.hpp
+++ b/shell/client_connection.hpp
@@ -45,7 +45,7 @@
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
-    client_connection(boost::asio::io_context &io, std::weak_ptr<connection_pool> pool, std::string address);
+    client_connection(boost::asio::io_context &io, std::weak_ptr<connection_pool> pool, std::string address, const http_client_options &options);
 
     // starts a call on an idle or new connection; gives the number of the call
     std::uint64_t start(http_call call, std::shared_ptr<http_receiver> receiver);
@@ -59,6 +59,8 @@
     void onBodyPart(std::string_view part);
     const std::string &address() const { return m_address; }
     std::chrono::steady_clock::time_point idleSince() const { return m_idleSince; }
+    // the other side closes an idle connection after a longer time
+    std::chrono::steady_clock::duration idleLimit() const { return m_idleLimit; }
 
 private:
     using response_parser = boost::beast::http::response_parser<passing_body>;
@@ -73,6 +75,8 @@
     bool feed();
     void onHead();
     void newParser();
+    void readIdleLimit();
+    void limitUnconfirmed();
     void setDeadline(std::chrono::steady_clock::time_point at);
     void onTimer();
     void complete();
@@ -80,6 +84,7 @@
 
     std::weak_ptr<connection_pool> m_pool;
     std::string m_address;
+    http_client_options m_options;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
@@ -96,7 +101,9 @@
     bool m_reading = false;
     bool m_writing = false;
     bool m_bytesLeft = false;
+    std::chrono::steady_clock::duration m_idleLimit = std::chrono::steady_clock::duration::max();
     bool m_headSeen = false;
+    bool m_skipping = false; // the response belongs to an earlier request
 };
 
 template<class Buffers>
@@ -115,11 +122,12 @@
 class connection_pool : public std::enable_shared_from_this<connection_pool>
 {
 public:
-    explicit connection_pool(boost::asio::io_context &io);
+    connection_pool(boost::asio::io_context &io, http_client_options options);
 
     running_call start(const std::string &address, http_call call, std::shared_ptr<http_receiver> receiver);
     void giveBack(const std::shared_ptr<client_connection> &connection);
     void forget(const std::shared_ptr<client_connection> &connection);
+    const http_client_options &options() const { return m_options; }
     void close();
 
 private:
@@ -128,6 +136,7 @@
     void sweep();
 
     boost::asio::io_context &m_io;
+    http_client_options m_options;
     boost::asio::steady_timer m_timer;
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> m_idle;
     std::unordered_set<std::shared_ptr<client_connection>> m_open;
--- a/shell/http_client.cpp
+++ b/shell/http_client.cpp
@@ -14,7 +14,6 @@
 
 // services commonly close idle connections after 5 s; a request that meets the close has an unknown outcome
 constexpr auto maxIdleTime = std::chrono::seconds{3};
-constexpr std::size_t maxIdlePerAddress = 64;
 constexpr auto sweepInterval = std::chrono::seconds{1};
 constexpr unsigned httpVersion = 11;
 
@@ -33,8 +32,8 @@
     }
 }
 
-http_client::http_client(boost::asio::io_context &io)
-    : m_pool(std::make_shared<connection_pool>(io))
+http_client::http_client(boost::asio::io_context &io, http_client_options options)
+    : m_pool(std::make_shared<connection_pool>(io, options))
 {
 }
 
@@ -53,8 +52,9 @@
     m_pool->close();
 }
 
-connection_pool::connection_pool(boost::asio::io_context &io)
+connection_pool::connection_pool(boost::asio::io_context &io, http_client_options options)
     : m_io(io)
+    , m_options(options)
     , m_timer(io)
 {
 }
@@ -63,10 +63,12 @@
 {
     auto connection = takeIdle(address);
     if (!connection) {
-        connection = std::make_shared<client_connection>(m_io, weak_from_this(), address);
+        connection = std::make_shared<client_connection>(m_io, weak_from_this(), address, m_options);
         m_open.insert(connection);
     }
-    call.request.set(http::field::host, address);
+    if (call.request.find(http::field::host) == call.request.end()) {
+        call.request.set(http::field::host, address);
+    }
     call.request.prepare_payload();
     const auto number = connection->start(std::move(call), std::move(receiver));
     return running_call{connection, number};
@@ -83,7 +85,7 @@
         // the most recently used one, so that surplus connections grow old
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (connection->usable() && steady_clock::now() - connection->idleSince() < maxIdleTime) {
+        if (connection->usable() && steady_clock::now() - connection->idleSince() < std::min<steady_clock::duration>(maxIdleTime, connection->idleLimit())) {
             return connection;
         }
         connection->close();
@@ -94,7 +96,7 @@
 void connection_pool::giveBack(const std::shared_ptr<client_connection> &connection)
 {
     auto &idle = m_idle[connection->address()];
-    if (idle.size() >= maxIdlePerAddress) {
+    if (idle.size() >= m_options.idlePerAddress) {
         connection->close();
         return;
     }
--- a/shell/http_client.hpp
+++ b/shell/http_client.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -52,6 +53,15 @@
     duration timeout{};
     timeout_kind kind = timeout_kind::Whole;
     std::uint64_t maxBody = 16 * 1024UL * 1024UL; // bytes
+    // false: the response belongs to an earlier request of the connection and is skipped. empty: every response is taken.
+    std::function<bool(const http_fields &)> accepts;
+};
+
+struct http_client_options {
+    std::chrono::milliseconds connectTimeout{1000};
+    // a connection whose bytes the other side does not confirm ends after this time; zero: the system's default
+    std::chrono::milliseconds unconfirmedTimeout{0};
+    std::size_t idlePerAddress = 64; // connections kept
 };
 
 class client_connection;
@@ -75,7 +85,7 @@
 class http_client
 {
 public:
-    explicit http_client(boost::asio::io_context &io);
+    explicit http_client(boost::asio::io_context &io, http_client_options options = {});
     ~http_client();
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
--- a/shell/http_headers.cpp
+++ b/shell/http_headers.cpp
@@ -60,6 +60,11 @@
     });
 }
 
+std::vector<header> endToEndRequestHeaders(const http::fields &fields)
+{
+    return copyHeaders(fields, [](const auto &each) { return each.name() == http::field::authorization || each.name() == http::field::expect; });
+}
+
 std::vector<header> forwardedResponseHeaders(const http::fields &fields)
 {
     return copyHeaders(fields, [](const auto & /*each*/) { return false; });
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -252,6 +252,41 @@
     }
 }
 
+void http_server::run(const answer_stream_head &command)
+{
+    if (const auto session = sessionOf(command.caller)) {
+        session->streamHead(command);
+    }
+}
+
+void http_server::run(const answer_stream_bytes &command)
+{
+    if (const auto session = sessionOf(command.caller)) {
+        session->streamBytes(command.bytes);
+    }
+}
+
+void http_server::run(const answer_stream_end &command)
+{
+    if (const auto session = sessionOf(command.caller)) {
+        session->streamEnd();
+    }
+}
+
+void http_server::run(const answer_broken &command)
+{
+    if (const auto session = sessionOf(command.caller)) {
+        session->breakOff();
+    }
+}
+
+void http_server::setBounds(const caller_bounds &bounds)
+{
+    m_settings.limits.headerSize = bounds.headerSize;
+    m_settings.limits.bodySize = bounds.bodySize;
+    m_settings.limits.idleTime = bounds.idleTime;
+}
+
 bool http_server::countKey(const key_digest &key)
 {
     auto &count = m_connectionsOfKey[key];
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -17,6 +17,7 @@
 #include "endpoint_client.hpp"
 #include "logging.hpp"
 #include "settings.hpp"
+#include "plantainpoint/relay.hpp"
 #include "shell_metrics.hpp"
 
 namespace plantainpoint {
@@ -24,6 +25,7 @@
 struct http_server_settings {
     server_limits limits;
     std::optional<tls_files> tls;
+    request_form form = request_form::Completion;
 };
 
 class http_server final : private session_host
@@ -44,6 +46,13 @@
     void run(const answer_done &command);
     void run(const answer_failure &command);
     void run(const answer_plain &command);
+    void run(const answer_stream_head &command);
+    void run(const answer_stream_bytes &command);
+    void run(const answer_stream_end &command);
+    void run(const answer_broken &command);
+
+    // sizes and times from the configuration; the other limits stay
+    void setBounds(const caller_bounds &bounds);
 
     // connections end after their present answer
     void beginClosing() { m_closing = true; }
@@ -54,6 +63,7 @@
 
 private:
     const server_limits &limits() const override { return m_settings.limits; }
+    request_form form() const override { return m_settings.form; }
     bool countKey(const key_digest &key) override;
     void uncountKey(const key_digest &key) override;
     caller_id open(caller_session &session) override;
--- a/shell/logging.hpp
+++ b/shell/logging.hpp
@@ -19,6 +19,7 @@
 public:
     line_logger(severity level, log_format format);
 
+    void setLevel(severity level) { m_level = level; }
     void write(const log_line &line) const;
     void write(severity level, part from, std::string_view text, const std::optional<request_label> &label = std::nullopt) const;
 
--- /dev/null
+++ b/shell/relay_client.hpp
@@ -0,0 +1,168 @@
+// dispatches of the relay core as HTTP calls; a dialect knows what endpoints understand
+#pragma once
+
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "http_client.hpp"
+#include "http_headers.hpp"
+#include "plantainpoint/relay.hpp"
+
+namespace plantainpoint {
+
+using relay_sink = std::function<void(relay_input)>;
+
+// what the head of a response says beyond its status
+struct reply_traits {
+    bool genuine = false; // carries the endpoint's stamp and is unencoded
+    bool notRun = false;
+    bool wrongEndpoint = false;
+    std::optional<reported_load> load;
+};
+
+template<class T>
+concept endpoint_dialect = requires(const T dialect, const relay_dispatch &dispatch, const http_fields &fields, const std::string &text) {
+    { dialect.encode(dispatch) } -> std::same_as<http_request>;
+    { dialect.belongs(fields, text) } -> std::same_as<bool>; // the response echoes the request's id, or no id at all
+    { dialect.traits(0, fields, text) } -> std::same_as<reply_traits>;
+    { dialect.callerHeaders(fields) } -> std::same_as<std::vector<header>>;
+    { dialect.prefillHandle(text) } -> std::same_as<std::optional<std::string>>;
+    { dialect.encodeRelease(text) } -> std::same_as<http_request>;
+};
+
+template<endpoint_dialect Dialect>
+class relay_client
+{
+public:
+    // both have to outlive the client
+    relay_client(http_client &http, Dialect dialect, relay_sink sink)
+        : m_http(http)
+        , m_dialect(std::move(dialect))
+        , m_sink(std::move(sink))
+    {
+    }
+
+    void run(const relay_dispatch &command);
+    void run(const relay_abort &command);
+    void run(const release_prefill &command);
+
+private:
+    class receiver;
+
+    static constexpr auto lateMargin = std::chrono::milliseconds{150}; // the core decides at the deadline; this only frees the connection
+    static constexpr std::uint64_t maxStream = std::uint64_t{1} << 40U; // bytes; streams have no size of their own
+    static constexpr auto releaseTimeout = std::chrono::milliseconds{500};
+
+    http_client &m_http;
+    Dialect m_dialect;
+    relay_sink m_sink;
+    std::unordered_map<attempt_number, running_call> m_open;
+};
+
+// collects a whole answer, or passes a stream on as it arrives
+template<endpoint_dialect Dialect>
+class relay_client<Dialect>::receiver final : public http_receiver
+{
+public:
+    receiver(relay_client &client, const relay_dispatch &command)
+        : m_client(client)
+        , m_id(command.payload->id)
+        , m_kind(command.kind)
+        , m_mayStream(command.streamed)
+    {
+        m_reply.attempt = command.attempt;
+    }
+
+    void onHead(int status, const http_fields &fields) override
+    {
+        const auto traits = m_client.m_dialect.traits(status, fields, m_id);
+        m_reply.status = status;
+        m_reply.headers = m_client.m_dialect.callerHeaders(fields);
+        m_reply.genuine = traits.genuine;
+        m_reply.notRun = traits.notRun;
+        m_reply.wrongEndpoint = traits.wrongEndpoint;
+        m_reply.load = traits.load;
+        m_streaming = m_mayStream && traits.genuine && status / 100 == 2;
+        if (m_streaming) {
+            m_client.m_sink(stream_head{m_reply.attempt, status, std::move(m_reply.headers), traits.load});
+        }
+    }
+
+    void onBody(std::string_view part) override
+    {
+        if (m_streaming) {
+            m_client.m_sink(stream_part{m_reply.attempt, std::string(part)});
+        } else {
+            m_reply.body += part;
+        }
+    }
+
+    void onEnd(transfer_end end, bool bytesLeft) override
+    {
+        m_client.m_open.erase(m_reply.attempt);
+        if (end != transfer_end::Complete) {
+            m_client.m_sink(relay_end{m_reply.attempt, endOf(end, bytesLeft)});
+        } else if (m_streaming) {
+            m_client.m_sink(relay_end{m_reply.attempt, reply_end::Complete});
+        } else if (auto handle = prefillHandle()) {
+            m_client.m_sink(prefill_reply{m_reply.attempt, std::move(*handle)});
+        } else {
+            m_client.m_sink(std::move(m_reply));
+        }
+    }
+
+private:
+    static reply_end endOf(transfer_end end, bool bytesLeft)
+    {
+        if (end == transfer_end::ConnectFailed || !bytesLeft) {
+            return reply_end::NotSent;
+        }
+        return end == transfer_end::TimedOut ? reply_end::TimedOut : reply_end::Broken;
+    }
+
+    std::optional<std::string> prefillHandle() const
+    {
+        const bool done = m_kind == dispatch_kind::Prefill && m_reply.status / 100 == 2;
+        return done ? m_client.m_dialect.prefillHandle(m_reply.body) : std::nullopt;
+    }
+
+    relay_client &m_client;
+    std::string m_id;
+    dispatch_kind m_kind;
+    relay_reply m_reply;
+    bool m_mayStream = false;
+    bool m_streaming = false;
+};
+
+template<endpoint_dialect Dialect>
+void relay_client<Dialect>::run(const relay_dispatch &command)
+{
+    http_call call{.request = m_dialect.encode(command), .timeout = command.timeLeft + lateMargin, .maxBody = maxStream};
+    call.accepts = [this, id = command.payload->id](const http_fields &fields) { return m_dialect.belongs(fields, id); };
+    m_open[command.attempt] = m_http.start(command.address, std::move(call), std::make_shared<receiver>(*this, command));
+}
+
+template<endpoint_dialect Dialect>
+void relay_client<Dialect>::run(const relay_abort &command)
+{
+    const auto found = m_open.find(command.attempt);
+    if (found != m_open.end()) {
+        found->second.abort();
+        m_open.erase(found);
+    }
+}
+
+// an unused result lapses by itself soon after, so a lost release is not repeated
+template<endpoint_dialect Dialect>
+void relay_client<Dialect>::run(const release_prefill &command)
+{
+    http_call call{.request = m_dialect.encodeRelease(command.source.handle), .timeout = releaseTimeout};
+    m_http.start(command.source.address, std::move(call), receiveWhole([](auto &&.../*ignored*/) {}));
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/shell/relay_options.cpp
@@ -0,0 +1,78 @@
+#include "relay_options.hpp"
+
+#include <charconv>
+#include <random>
+
+#include "yaml_reader.hpp"
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// a VM keeps no state, and its wall clock may step back: runs are told apart by chance
+std::uint64_t randomIncarnation()
+{
+    std::random_device random;
+    constexpr unsigned halfWidth = 31; // the sign bit stays clear in every codec
+    return (static_cast<std::uint64_t>(random()) << halfWidth) | random();
+}
+
+void readRetries(settings_section &&section, relay_settings &out, settings_errors &errors)
+{
+    const auto text = section.text("ratio", "0.2");
+    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), out.retryRatio);
+    if (error != std::errc{} || rest != text.data() + text.size() || out.retryRatio < 0 || out.retryRatio > 1) {
+        errors.add(-1, "retries.ratio", "must be a number from 0 to 1");
+    }
+    out.retrySlack = static_cast<double>(section.integer("slack", 50, 0, 1'000'000));
+    section.finish();
+}
+
+void readEngines(settings_section &&section, relay_settings &out)
+{
+    constexpr std::int64_t fastest = 1'000'000;
+    out.prefillTokensPerMs = static_cast<double>(section.integer("prefill_tokens_per_ms", 55, 1, fastest));
+    out.decodePrefillTokensPerMs = static_cast<double>(section.integer("decode_prefill_tokens_per_ms", 27, 1, fastest));
+    out.directLimit = section.time("direct_limit", milliseconds{350}, milliseconds{0}, milliseconds{60'000});
+    section.finish();
+}
+
+void readLogging(settings_section &&section, relay_options &out)
+{
+    out.logLevel = static_cast<severity>(section.choice("level", static_cast<std::size_t>(severity::Info), {"debug", "info", "warning", "error"}));
+    out.logFormat = static_cast<log_format>(section.choice("format", static_cast<std::size_t>(log_format::Text), {"text", "json"}));
+    section.finish();
+}
+
+} // namespace
+
+absl::StatusOr<relay_options> loadRelayOptions(const std::string &file)
+{
+    settings_errors errors(file);
+    settings_section root(loadYaml(file, errors), "", errors);
+    if (!errors.status().ok()) {
+        return errors.status();
+    }
+    relay_options out;
+    out.core.self = {vm_name{root.text("vm")}, randomIncarnation()};
+    out.core.dataCentre.value = root.text("data_centre");
+    out.listenAddress = root.address("listen");
+    out.readyAddress = root.address("ready");
+    out.peerAddress = root.address("peer");
+    out.directoryAddress = root.address("directory");
+    out.core.peerAddress = out.peerAddress;
+    out.core.drainTime = root.time("drain_time", milliseconds{3000}, milliseconds{0}, milliseconds{60'000});
+    out.directoryInterval = root.time("directory_interval", out.directoryInterval, milliseconds{50}, milliseconds{10'000});
+    readRetries(root.section("retries"), out.core, errors);
+    readEngines(root.section("engines"), out.core);
+    readLogging(root.section("logging"), out);
+    root.finish();
+    if (!errors.status().ok()) {
+        return errors.status();
+    }
+    return out;
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/shell/relay_vm.hpp
@@ -0,0 +1,343 @@
+// drives the relay core of a VM from one event loop
+#pragma once
+
+#include <algorithm>
+#include <concepts>
+#include <csignal>
+#include <deque>
+#include <string>
+#include <utility>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "admin_server.hpp"
+#include "beat_link.hpp"
+#include "clocks.hpp"
+#include "http_server.hpp"
+#include "plantainpoint/relay_core.hpp"
+#include "relay_client.hpp"
+#include "relay_options.hpp"
+#include "shell_metrics.hpp"
+
+namespace plantainpoint {
+
+// what a relay VM needs of the system that it runs on
+template<class T>
+concept relay_platform = endpoint_dialect<typename T::endpoints> && requires(caller_request &request, typename T::directory &directory, std::string &state) {
+    { T::decodeRequest(request) } -> std::same_as<relay_request>;
+    { T::readyPath() } -> std::convertible_to<std::string>;
+    directory.start();
+    directory.leave();
+    { directory.exportState() } -> std::same_as<std::string>;
+    directory.importState(state);
+};
+
+template<relay_platform Platform>
+class relay_vm
+{
+public:
+    // the context has to outlive the VM
+    relay_vm(boost::asio::io_context &io, std::string settingsFile, relay_options options);
+    ~relay_vm() { m_running = true; }
+    relay_vm(const relay_vm &) = delete;
+    relay_vm &operator=(const relay_vm &) = delete;
+
+    // binds the addresses and starts the core; InvalidSettings names the address
+    absl::Status start();
+
+private:
+    static constexpr const char *statePath = "/fleet/state";
+    static constexpr auto fetchTimeout = std::chrono::milliseconds{800};
+    static constexpr auto flushTime = std::chrono::seconds{1}; // for answers that are still being written when the core has stopped
+    static constexpr auto flushInterval = std::chrono::milliseconds{5};
+    static constexpr auto storeOptions = http_client_options{.connectTimeout = std::chrono::milliseconds{300},
+                                                             .unconfirmedTimeout = std::chrono::milliseconds{900},
+                                                             .idlePerAddress = 2};
+    // an endpoint that does not take a connection in this time would not answer within the objective either
+    static constexpr auto endpointOptions = http_client_options{.connectTimeout = std::chrono::milliseconds{250},
+                                                                .unconfirmedTimeout = std::chrono::milliseconds{900},
+                                                                .idlePerAddress = 6};
+
+    void deliver(relay_input message);
+    void onCaller(input message);
+    void tick();
+    void drain();
+    void execute();
+    void schedule();
+    void waitForSignal();
+    void reload();
+    void shutDown();
+    void stopWhenFlushed();
+    admin_views adminViews();
+
+    void run(const send_beat &command) { m_beats.send(command); }
+    void run(const fetch_fleet_state &command);
+    void run(const log_line &command) { m_logger.write(command); }
+    void run(const stopped &command);
+
+    boost::asio::io_context &m_io;
+    std::string m_settingsFile;
+    relay_options m_options;
+    line_logger m_logger;
+    boot_time_source m_clock;
+    shell_metrics m_metrics;
+    relay_core m_core;
+    http_client m_http;
+    http_client m_directoryHttp;
+    relay_client<typename Platform::endpoints> m_endpoints;
+    typename Platform::directory m_directory;
+    beat_link m_beats;
+    http_server m_server;
+    admin_server m_ready;
+    admin_server m_admin;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_stopTimer;
+    boost::asio::signal_set m_signals;
+    std::deque<relay_input> m_inbox; // inputs that arise while commands are executed
+    std::uint64_t m_boundsVersion = 0;
+    time_point m_tickAt{};
+    time_point m_stopBy{};
+    bool m_tickPending = false;
+    bool m_running = false;
+    bool m_shuttingDown = false;
+    bool m_stopped = false;
+};
+
+template<relay_platform Platform>
+relay_vm<Platform>::relay_vm(boost::asio::io_context &io, std::string settingsFile, relay_options options)
+    : m_io(io)
+    , m_settingsFile(std::move(settingsFile))
+    , m_options(std::move(options))
+    , m_logger(m_options.logLevel, m_options.logFormat)
+    , m_core(m_options.core, m_clock)
+    , m_http(io, endpointOptions)
+    , m_directoryHttp(io, storeOptions)
+    , m_endpoints(m_http, typename Platform::endpoints{}, [this](relay_input message) { deliver(std::move(message)); })
+    , m_directory(io, m_directoryHttp, m_options, [this](relay_input message) { deliver(std::move(message)); }, m_logger)
+    , m_beats(io, [this](fleet_beat beat) { deliver(std::move(beat)); }, m_logger)
+    , m_server(io, {server_limits{.connectionsPerAccount = 1'000'000}, {}, request_form::Opaque}, [this](input message) { onCaller(std::move(message)); }, m_logger, m_metrics)
+    , m_ready(io, adminViews())
+    , m_admin(io, adminViews())
+    , m_tickTimer(io)
+    , m_stopTimer(io)
+    , m_signals(io)
+{
+}
+
+template<relay_platform Platform>
+admin_views relay_vm<Platform>::adminViews()
+{
+    const auto ready = [this] { return !m_shuttingDown && m_core.ready(); };
+    admin_views views{.metrics = [this] { return metricsText(m_metrics) + samplesOf(m_core.metrics()); },
+                      .status = [this] { return m_core.status(); },
+                      .audit = [] { return nlohmann::json::array(); },
+                      .explain = [](const request_label &) { return nlohmann::json{}; },
+                      .ready = ready};
+    views.pages[Platform::readyPath()] = [ready]() -> std::optional<std::string> { return ready() ? std::optional<std::string>("ready") : std::nullopt; };
+    views.pages[statePath] = [this]() -> std::optional<std::string> { return m_directory.exportState(); };
+    return views;
+}
+
+template<relay_platform Platform>
+absl::Status relay_vm<Platform>::start()
+{
+    if (auto bound = m_beats.listen(m_options.peerAddress); !bound.ok()) {
+        return bound;
+    }
+    if (auto bound = m_admin.listen(m_options.peerAddress); !bound.ok()) {
+        return bound;
+    }
+    if (auto bound = m_ready.listen(m_options.readyAddress); !bound.ok()) {
+        return bound;
+    }
+    if (auto bound = m_server.listen(m_options.listenAddress); !bound.ok()) {
+        return bound;
+    }
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
+    m_signals.add(SIGHUP);
+    waitForSignal();
+    m_logger.write(severity::Info, part::Core, "Started vm=" + m_options.core.self.vm.value + " listen=" + m_options.listenAddress + '.');
+    m_directory.start();
+    tick();
+    return absl::OkStatus();
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else if (!m_shuttingDown) {
+            shutDown();
+        }
+        waitForSignal();
+    });
+}
+
+// addresses and the name stay until the next start; the rest of the file is checked, so that an operator sees an error at once
+template<relay_platform Platform>
+void relay_vm<Platform>::reload()
+{
+    const auto options = loadRelayOptions(m_settingsFile);
+    if (!options.ok()) {
+        const auto text = options.status().message();
+        m_logger.write(severity::Error, part::Core, "Settings were not reloaded: " + std::string(text.data(), text.size()) + '.');
+        return;
+    }
+    m_logger.setLevel(options->logLevel);
+    m_logger.write(severity::Info, part::Core, "Settings were reloaded.");
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::shutDown()
+{
+    m_shuttingDown = true;
+    m_server.beginClosing();
+    m_directory.leave();
+    deliver(shutdown_requested{});
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::onCaller(input message)
+{
+    if (auto *const request = std::get_if<caller_request>(&message)) {
+        deliver(Platform::decodeRequest(*request));
+    } else if (auto *const gone = std::get_if<caller_gone>(&message)) {
+        deliver(*gone);
+    }
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::deliver(relay_input message)
+{
+    if (m_running) {
+        m_inbox.push_back(std::move(message));
+        return;
+    }
+    m_running = true;
+    m_core.handle(std::move(message));
+    drain();
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::tick()
+{
+    if (m_running) {
+        return;
+    }
+    m_running = true;
+    m_core.tick();
+    drain();
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::drain()
+{
+    execute();
+    while (!m_inbox.empty()) {
+        auto message = std::move(m_inbox.front());
+        m_inbox.pop_front();
+        m_core.handle(std::move(message));
+        execute();
+    }
+    if (const auto version = m_core.configVersion(); version != m_boundsVersion) {
+        m_boundsVersion = version;
+        m_server.setBounds(m_core.bounds());
+    }
+    m_running = false;
+    schedule();
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::execute()
+{
+    const auto runOne = [this](auto &command) {
+        if constexpr (requires { m_server.run(command); }) {
+            m_server.run(command);
+        } else if constexpr (requires { m_endpoints.run(command); }) {
+            m_endpoints.run(command);
+        } else {
+            run(command);
+        }
+    };
+    auto commands = m_core.take();
+    for (auto &each : commands) {
+        std::visit(runOne, each);
+    }
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::schedule()
+{
+    const auto next = m_core.nextTick();
+    if (m_stopped || (m_tickPending && m_tickAt <= next)) {
+        return;
+    }
+    m_tickPending = true;
+    m_tickAt = next;
+    m_tickTimer.expires_after(std::max(next - m_clock.now(), duration{}));
+    m_tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_tickPending = false;
+        if (m_clock.now() >= m_core.nextTick()) {
+            tick();
+        } else {
+            schedule();
+        }
+    });
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::run(const fetch_fleet_state &command)
+{
+    auto handler = [this, address = command.address](transfer_end end, bool, int status, const http_fields &, std::string body) {
+        constexpr int statusOk = 200;
+        if (end != transfer_end::Complete || status != statusOk) {
+            m_logger.write(severity::Warning, part::Peer, "State of " + address + " could not be read.");
+            return;
+        }
+        m_directory.importState(body);
+    };
+    http_call call{.request = makeRequest(boost::beast::http::verb::get, statePath), .timeout = fetchTimeout};
+    m_directoryHttp.start(command.address, std::move(call), receiveWhole(std::move(handler)));
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::run(const stopped & /*command*/)
+{
+    m_stopped = true;
+    m_server.stopListening();
+    m_tickTimer.cancel();
+    m_stopBy = m_clock.now() + flushTime;
+    stopWhenFlushed();
+}
+
+template<relay_platform Platform>
+void relay_vm<Platform>::stopWhenFlushed()
+{
+    m_stopTimer.expires_after(flushInterval);
+    m_stopTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (m_server.flushed() || m_clock.now() >= m_stopBy) {
+            m_logger.write(severity::Info, part::Core, "Stopped.");
+            m_io.stop();
+        } else {
+            stopWhenFlushed();
+        }
+    });
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/event_splitter.hpp
@@ -0,0 +1,42 @@
+// splits a stream of server-sent events into whole events without changing a byte
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace plantainpoint {
+
+class event_splitter
+{
+public:
+    // calls handler(std::string_view event, std::optional<std::uint64_t> id) for each event that is whole now, its blank line included
+    template<class Handler>
+    void feed(std::string_view part, Handler &&handler)
+    {
+        m_rest += part;
+        std::size_t begin = 0;
+        for (auto end = endOfEvent(begin); end != std::string::npos; end = endOfEvent(begin)) {
+            const std::string_view event{m_rest.data() + begin, end - begin};
+            handler(event, idOf(event));
+            begin = end;
+            m_scanned = end;
+        }
+        m_rest.erase(0, begin);
+        m_scanned -= begin;
+    }
+
+    // bytes of an event whose end has not arrived
+    std::string_view rest() const { return m_rest; }
+
+private:
+    // position behind the next blank line; npos: not there yet
+    std::size_t endOfEvent(std::size_t begin);
+    static std::optional<std::uint64_t> idOf(std::string_view event);
+
+    std::string m_rest;
+    std::size_t m_scanned = 0; // no event ends before it
+};
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/relay_admission.cpp
@@ -0,0 +1,305 @@
+// admission and placement of relayed requests
+#include "relay_requests.hpp"
+
+#include <algorithm>
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration configurationRetry = milliseconds{500}; // a VM that has just started learns its configuration in this time
+constexpr duration noEndpointRetry = milliseconds{300}; // endpoints announce themselves about once a second
+constexpr duration shortestOverloadRetry = milliseconds{200};
+constexpr double longestWaitPart = 0.6; // of the time that a request has; a caller that is refused later cannot come back in time
+
+std::string millisText(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+}
+
+// refused callers return spread over half of the time once more
+duration spread(duration base, std::string_view id)
+{
+    constexpr std::uint64_t steps = 64;
+    return base + base * static_cast<std::int64_t>(stableHash(id) % steps) / static_cast<std::int64_t>(2 * steps);
+}
+
+} // namespace
+
+relay_parts::relay_parts(relay_settings given, const clock_source &time)
+    : settings(std::move(given))
+    , clock(time)
+    , speeds{.prefillTokensPerMs = settings.prefillTokensPerMs,
+             .decodePrefillTokensPerMs = settings.decodePrefillTokensPerMs,
+             .directLimit = settings.directLimit}
+    , fleet(settings.self, settings.peerAddress)
+{
+}
+
+relay_requests::relay_requests(relay_parts &parts)
+    : m_parts(parts)
+{
+}
+
+void relay_requests::refuse(caller_id caller, const relay_payload &payload, failure reason, std::optional<duration> retryAfter, std::string_view detail)
+{
+    ++m_parts.metrics.failures[reason];
+    ++m_parts.metrics.results["refused"];
+    m_parts.say(severity::Info,
+                part::Http,
+                "request=" + payload.id + " refused reason=" + std::string(nameOf(reason)) + " retry_after_ms=" + millisText(retryAfter.value_or(duration{}))
+                    + " config=" + std::to_string(m_parts.routes ? m_parts.routes->version() : 0) + " detail=\"" + std::string(detail) + '"');
+    m_parts.out.push_back(answer_failure{caller, {}, reason, outcome::NotRun, std::string(detail), retryAfter});
+}
+
+const relay_account *relay_requests::authorise(const relay_request &request, const relay_route &route)
+{
+    const auto *const account = request.key ? m_parts.routes->accountOf(*request.key) : nullptr;
+    if (account == nullptr && m_parts.routes->keyed() && !route.open) {
+        const auto reason = request.key ? failure::UnknownKey : failure::MissingKey;
+        refuse(request.caller, *request.payload, reason, std::nullopt, "the route needs a valid key");
+    }
+    return account;
+}
+
+bool relay_requests::admit(relay_entry &entry)
+{
+    if (entry.account == nullptr) {
+        return true;
+    }
+    if (entry.account->unit == limit_unit::Requests) {
+        entry.units = 1;
+    } else {
+        entry.units = entry.request.tokens ? static_cast<double>(entry.request.tokens->total()) : entry.account->plainCost;
+    }
+    const auto wait = m_parts.limiter.admit(entry.account->name, entry.units, m_parts.clock.now());
+    if (!wait) {
+        return true;
+    }
+    const auto detail = "account " + entry.account->name.value + " is over its limit";
+    refuse(entry.request.caller, *entry.request.payload, failure::RateExceeded, spread(*wait, entry.request.payload->id), detail);
+    return false;
+}
+
+void relay_requests::on(relay_request request)
+{
+    ++m_parts.metrics.received;
+    if (!m_parts.routes) {
+        refuse(request.caller, *request.payload, failure::StaleConfiguration, configurationRetry, "no configuration is known yet");
+        return;
+    }
+    const auto *const route = m_parts.routes->find(request.payload->host, request.payload->target);
+    if (route == nullptr) {
+        refuse(request.caller, *request.payload, failure::UnknownRoute, std::nullopt, "no route matches");
+        return;
+    }
+    const auto *const account = authorise(request, *route);
+    if (account == nullptr && m_parts.routes->keyed() && !route->open) {
+        return;
+    }
+    auto entry = std::make_unique<relay_entry>();
+    entry->table = m_parts.routes;
+    entry->route = route;
+    entry->account = account;
+    entry->service = chooseService(*route, request.payload->id);
+    entry->arrivedAt = m_parts.clock.now();
+    entry->deadline = entry->arrivedAt + std::min<duration>(request.patience, route->timeout);
+    entry->lastEvent = request.resumeAfter;
+    entry->request = std::move(request);
+    if (!admit(*entry)) {
+        return;
+    }
+    auto &held = *entry;
+    const auto caller = held.request.caller;
+    m_entries.emplace(caller, std::move(entry));
+    const auto scale = static_cast<double>(retry_budget::perRetry);
+    // the fleet's slack is shared; a quarter of it is left for VMs that start meanwhile
+    const double slack = 0.75 * m_parts.settings.retrySlack * scale / static_cast<double>(std::max<std::size_t>(m_parts.fleet.members(held.arrivedAt), 1));
+    const auto perRequest = static_cast<std::int64_t>(m_parts.settings.retryRatio * 0.75 * scale);
+    auto &budget = m_budgets.try_emplace(held.service, perRequest, static_cast<std::int64_t>(slack), static_cast<std::int64_t>(slack) / 2).first->second;
+    budget.earn();
+    if (place(held)) {
+        schedule(held);
+    } else {
+        wait(held);
+    }
+}
+
+placement_context relay_requests::context(const relay_entry &entry) const
+{
+    return {m_parts.fleet, m_parts.settings.dataCentre, m_parts.speeds, m_parts.clock.now(), entry.tried};
+}
+
+bool relay_requests::place(relay_entry &entry)
+{
+    const auto *const service = entry.table->service(entry.service);
+    const bool model = service != nullptr && service->engine && entry.request.tokens;
+    return model ? placeModel(entry) : placePlain(entry);
+}
+
+bool relay_requests::placePlain(relay_entry &entry)
+{
+    const auto now = m_parts.clock.now();
+    auto candidates = m_parts.endpoints.candidates(entry.service, endpoint_role::Plain, now);
+    // a model request without a size goes to any decode endpoint
+    const auto decodes = m_parts.endpoints.candidates(entry.service, endpoint_role::Decode, now);
+    candidates.insert(candidates.end(), decodes.begin(), decodes.end());
+    auto *const endpoint = choosePlain(candidates, context(entry));
+    if (endpoint == nullptr) {
+        return false;
+    }
+    send(entry, *endpoint, entry.isStream() ? dispatch_kind::Decode : dispatch_kind::Plain, 0);
+    return true;
+}
+
+bool relay_requests::placeModel(relay_entry &entry)
+{
+    const auto now = m_parts.clock.now();
+    const auto &profile = *entry.table->service(entry.service)->engine;
+    const auto decodes = m_parts.endpoints.candidates(entry.service, endpoint_role::Decode, now);
+    // only one prefill apart: further ones would count as repeats
+    const bool mayPrefill = !entry.prefillTried && !entry.headSent;
+    const auto prefills = mayPrefill ? m_parts.endpoints.candidates(entry.service, endpoint_role::Prefill, now) : std::vector<endpoint_entry *>{};
+    const auto placement = chooseModel(prefills, decodes, profile, *entry.request.tokens, context(entry));
+    if (!placement) {
+        return false;
+    }
+    if (placement->prefill == nullptr) {
+        send(entry, *placement->decode, dispatch_kind::Decode, entry.request.tokens->prompt);
+        return true;
+    }
+    entry.prefillTried = true;
+    entry.reserved = ++m_lastAttempt;
+    entry.reservedAt = placement->decode->info.name;
+    placement->decode->open.emplace(*entry.reserved, open_work{now, 0, entry.request.tokens->total(), true});
+    send(entry, *placement->prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
+    return true;
+}
+
+// a request that cannot be served in time is refused at once
+void relay_requests::wait(relay_entry &entry)
+{
+    const auto now = m_parts.clock.now();
+    const auto &payload = *entry.request.payload;
+    if (!m_parts.endpoints.hasService(entry.service, now)) {
+        giveUp(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is known");
+        return;
+    }
+    auto &queue = m_waiting[entry.service];
+    auto candidates = m_parts.endpoints.candidates(entry.service, endpoint_role::Plain, now);
+    const auto decodes = m_parts.endpoints.candidates(entry.service, endpoint_role::Decode, now);
+    candidates.insert(candidates.end(), decodes.begin(), decodes.end());
+    std::int32_t slots = 1;
+    duration meanTime = milliseconds{1};
+    for (const auto *each : candidates) {
+        slots += each->info.slots;
+        meanTime = std::max(meanTime, each->experience.meanTime());
+    }
+    const auto ahead = static_cast<std::int64_t>((queue.size() + 1) * m_parts.fleet.heard(now));
+    const auto expected = meanTime * ahead / slots;
+    if (expected > std::chrono::duration_cast<duration>((entry.deadline - now) * longestWaitPart)) {
+        giveUp(entry, failure::Overloaded, outcome::NotRun, "expected wait of " + millisText(expected) + " ms");
+        return;
+    }
+    const auto rank = [&](caller_id id) {
+        const auto &other = *m_entries.at(id);
+        return other.account != nullptr && other.account->priority ? *other.account->priority : other.route->priority;
+    };
+    const auto own = rank(entry.request.caller);
+    const auto at = std::find_if(queue.begin(), queue.end(), [&](caller_id id) { return rank(id) > own; });
+    queue.insert(at, entry.request.caller);
+    m_parts.say(severity::Info,
+                part::Place,
+                "request=" + payload.id + " waits service=" + entry.service.value + " queue=" + std::to_string(queue.size())
+                    + " expected_ms=" + millisText(expected) + " directory=" + std::to_string(m_parts.endpoints.position()));
+    schedule(entry);
+}
+
+void relay_requests::leaveQueue(const relay_entry &entry)
+{
+    const auto found = m_waiting.find(entry.service);
+    if (found != m_waiting.end()) {
+        std::erase(found->second, entry.request.caller);
+    }
+}
+
+void relay_requests::placeWaiting()
+{
+    for (auto &[service, queue] : m_waiting) {
+        // the first one keeps its turn, so that large requests do not starve
+        while (!queue.empty()) {
+            const auto caller = queue.front();
+            auto &entry = *m_entries.at(caller);
+            if (!place(entry)) {
+                break;
+            }
+            m_parts.metrics.wait.add(m_parts.clock.now() - entry.arrivedAt);
+            queue.pop_front();
+            schedule(entry);
+        }
+    }
+}
+
+std::size_t relay_requests::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, queue] : m_waiting) {
+        count += queue.size();
+    }
+    return count;
+}
+
+void relay_requests::giveUp(relay_entry &entry, failure reason, outcome result, std::string_view detail)
+{
+    const auto caller = entry.request.caller;
+    if (entry.headSent) {
+        breakOff(entry, detail);
+        return;
+    }
+    if (result == outcome::NotRun && entry.runs > 0) {
+        reason = failure::EndpointFailed;
+        result = outcome::Unknown;
+    }
+    std::optional<duration> retryAfter;
+    if (result == outcome::NotRun) {
+        const auto base = reason == failure::NoEndpoint ? noEndpointRetry : shortestOverloadRetry;
+        retryAfter = spread(base, entry.request.payload->id);
+        if (entry.account != nullptr) {
+            m_parts.limiter.refund(entry.account->name, entry.units);
+        }
+    }
+    ++m_parts.metrics.failures[reason];
+    m_parts.out.push_back(answer_failure{caller, {}, reason, result, std::string(detail), retryAfter});
+    finish(entry, std::string(nameOf(reason)) + " detail=\"" + std::string(detail) + '"', entryOf(reason).httpStatus);
+}
+
+// wakes the entry at the next instant at which something about it has to be decided
+void relay_requests::schedule(relay_entry &entry)
+{
+    auto at = entry.deadline;
+    if (entry.machine.stage() == relay_stage::Waiting && !entry.headSent) {
+        at = std::min(at, entry.arrivedAt + std::chrono::duration_cast<duration>((entry.deadline - entry.arrivedAt) * longestWaitPart));
+    }
+    if (entry.attempt && entry.attempt->moveOnAt) {
+        at = std::min(at, *entry.attempt->moveOnAt);
+    }
+    const auto caller = entry.request.caller;
+    const auto [found, added] = m_wakeOf.try_emplace(caller, at);
+    if (!added) {
+        if (found->second == at) {
+            return;
+        }
+        m_wakes.erase({found->second, caller});
+        found->second = at;
+    }
+    m_wakes.emplace(at, caller);
+}
+
+std::optional<time_point> relay_requests::nextWake() const
+{
+    return m_wakes.empty() ? std::nullopt : std::optional(m_wakes.begin()->first);
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/relay_attempts.cpp
@@ -0,0 +1,254 @@
+// dispatches to endpoints and what they leave in the ledgers
+#include "relay_requests.hpp"
+
+#include <algorithm>
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double moveOnPart = 0.6; // of the objective; leaves time for a second attempt within it
+constexpr std::int64_t moveOnFactor = 4; // times the mean time of the endpoint
+constexpr duration shortestMoveOn = milliseconds{60};
+constexpr duration streamMoveOn = milliseconds{1200}; // beyond the expected first event
+constexpr std::int64_t gapFactor = 3; // times the objective for the pause between events
+
+} // namespace
+
+std::optional<time_point> relay_requests::moveOnTime(const relay_entry &entry, dispatch_kind kind, duration expected) const
+{
+    const auto now = m_parts.clock.now();
+    if (kind == dispatch_kind::Prefill) {
+        return now + expected * moveOnFactor + entry.route->objective / 4;
+    }
+    if (!entry.repeatable() || entry.runs >= entry.route->attempts) {
+        return std::nullopt;
+    }
+    if (entry.isStream()) {
+        return now + expected + streamMoveOn;
+    }
+    const auto part = std::chrono::duration_cast<duration>(entry.route->objective * moveOnPart);
+    return now + std::max({part, expected * moveOnFactor, shortestMoveOn});
+}
+
+void relay_requests::send(relay_entry &entry, endpoint_entry &endpoint, dispatch_kind kind, std::int64_t prefillTokens)
+{
+    const auto now = m_parts.clock.now();
+    const auto &tokens = entry.request.tokens;
+    const auto number = ++m_lastAttempt;
+    const auto expected = kind == dispatch_kind::Plain ? endpoint.experience.meanTime()
+                                                       : readingTime(prefillTokens,
+                                                                     kind == dispatch_kind::Prefill ? m_parts.speeds.prefillTokensPerMs
+                                                                                                    : m_parts.speeds.decodePrefillTokensPerMs);
+    endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? tokens->total() : 0, false});
+    if (kind == dispatch_kind::Prefill) {
+        ++m_parts.metrics.prefills;
+        entry.machine.apply(relay_event::prefill_sent{});
+    } else {
+        ++entry.runs;
+        ++entry.dispatches;
+        ++m_parts.metrics.dispatches;
+        entry.machine.apply(relay_event::sent{});
+    }
+    entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, moveOnTime(entry, kind, expected)};
+    entry.lastEndpoint = endpoint.info.name;
+    m_attempts.emplace(number, entry.request.caller);
+    const auto *const account = entry.account;
+    m_parts.out.push_back(relay_dispatch{.attempt = number,
+                                         .kind = kind,
+                                         .endpoint = endpoint.info.name,
+                                         .address = endpoint.info.address,
+                                         .payload = entry.request.payload,
+                                         .account = account != nullptr ? account->name : account_name{},
+                                         .priority = account != nullptr && account->priority ? *account->priority : entry.route->priority,
+                                         .timeLeft = entry.deadline - now,
+                                         .streamed = entry.isStream() && kind == dispatch_kind::Decode,
+                                         .source = kind == dispatch_kind::Decode ? std::exchange(entry.source, std::nullopt) : std::nullopt,
+                                         .resumeAfter = entry.lastEvent});
+}
+
+// the prompt has been read elsewhere; the reserved slot becomes the attempt's own
+void relay_requests::sendDecode(relay_entry &entry, endpoint_entry &endpoint)
+{
+    releaseReservation(entry);
+    send(entry, endpoint, dispatch_kind::Decode, 0);
+}
+
+relay_entry *relay_requests::ofAttempt(attempt_number number)
+{
+    const auto found = m_attempts.find(number);
+    return found == m_attempts.end() ? nullptr : m_entries.at(found->second).get();
+}
+
+void relay_requests::closeAttempt(relay_entry &entry)
+{
+    if (!entry.attempt) {
+        return;
+    }
+    m_attempts.erase(entry.attempt->number);
+    if (auto *const endpoint = m_parts.endpoints.find(entry.attempt->endpoint)) {
+        endpoint->open.erase(entry.attempt->number);
+    }
+    entry.attempt.reset();
+}
+
+void relay_requests::releaseReservation(relay_entry &entry)
+{
+    if (!entry.reserved) {
+        return;
+    }
+    if (auto *const endpoint = m_parts.endpoints.find(entry.reservedAt)) {
+        endpoint->open.erase(*entry.reserved);
+    }
+    entry.reserved.reset();
+}
+
+void relay_requests::releaseSource(relay_entry &entry)
+{
+    if (entry.source) {
+        m_parts.out.push_back(release_prefill{*std::exchange(entry.source, std::nullopt)});
+    }
+}
+
+// a full endpoint is left alone for a moment; its report is newer than the beats of the other VMs
+void relay_requests::noteLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load)
+{
+    constexpr duration fullTime = milliseconds{25};
+    auto *const entry = m_parts.endpoints.find(endpoint);
+    if (entry != nullptr && load && load->waiting >= entry->info.slots) {
+        entry->fullUntil = m_parts.clock.now() + fullTime;
+    }
+}
+
+void relay_requests::noteOutcome(const relay_entry &entry, bool good)
+{
+    if (!entry.attempt) {
+        return;
+    }
+    auto *const endpoint = m_parts.endpoints.find(entry.attempt->endpoint);
+    if (endpoint == nullptr) {
+        return;
+    }
+    const auto now = m_parts.clock.now();
+    if (good) {
+        endpoint->experience.onSuccess(now - entry.attempt->sentAt, now);
+    } else {
+        endpoint->experience.onFailure(now);
+    }
+}
+
+bool relay_requests::spendRetry(const relay_entry &entry)
+{
+    const auto found = m_budgets.find(entry.service);
+    if (found == m_budgets.end() || !found->second.spend()) {
+        ++m_parts.metrics.retriesDenied;
+        return false;
+    }
+    ++m_parts.metrics.retries;
+    return true;
+}
+
+void relay_requests::on(prefill_reply reply)
+{
+    auto *const entry = ofAttempt(reply.attempt);
+    if (entry == nullptr) {
+        return;
+    }
+    noteOutcome(*entry, true);
+    const auto *const prefill = m_parts.endpoints.find(entry->attempt->endpoint);
+    const auto address = prefill != nullptr ? prefill->info.address : std::string{};
+    closeAttempt(*entry);
+    entry->source = prefill_source{address, std::move(reply.handle)};
+    auto *const decode = m_parts.endpoints.find(entry->reservedAt);
+    if (decode != nullptr && decode->usable(m_parts.clock.now()) && !address.empty()) {
+        sendDecode(*entry, *decode);
+        schedule(*entry);
+        return;
+    }
+    releaseSource(*entry);
+    onPrefillFailed(*entry);
+}
+
+// the decode endpoint reads the prompt itself
+void relay_requests::onPrefillFailed(relay_entry &entry)
+{
+    releaseReservation(entry);
+    entry.machine.apply(relay_event::place_wanted{});
+    if (place(entry)) {
+        schedule(entry);
+    } else {
+        wait(entry);
+    }
+}
+
+void relay_requests::on(stream_head head)
+{
+    auto *const entry = ofAttempt(head.attempt);
+    if (entry == nullptr) {
+        return;
+    }
+    noteLoad(entry->attempt->endpoint, head.load);
+    entry->machine.apply(relay_event::streaming{});
+    // a resumed stream keeps the head of its first endpoint
+    if (!entry->headSent) {
+        entry->headSent = true;
+        m_parts.out.push_back(answer_stream_head{entry->request.caller, head.status, std::move(head.headers)});
+    }
+}
+
+void relay_requests::on(stream_part part)
+{
+    auto *const entry = ofAttempt(part.attempt);
+    if (entry == nullptr) {
+        return;
+    }
+    const auto now = m_parts.clock.now();
+    auto *const endpoint = m_parts.endpoints.find(entry->attempt->endpoint);
+    if (endpoint != nullptr) {
+        auto &work = endpoint->open[part.attempt];
+        if (!work.answered) {
+            work.answered = true;
+            endpoint->experience.onSuccess(now - entry->attempt->sentAt, now);
+            m_parts.metrics.firstEvent.add(now - entry->arrivedAt);
+        }
+    }
+    if (entry->attempt->moveOnAt) {
+        entry->attempt->moveOnAt = now + std::max<duration>(entry->route->gapObjective * gapFactor, milliseconds{700});
+        schedule(*entry);
+    }
+    forward(*entry, part.bytes);
+}
+
+// a stream that may go on elsewhere passes on whole events only
+void relay_requests::forward(relay_entry &entry, std::string_view bytes)
+{
+    if (!entry.route->resumable) {
+        m_parts.out.push_back(answer_stream_bytes{entry.request.caller, std::string(bytes)});
+        return;
+    }
+    std::string whole;
+    entry.events.feed(bytes, [&](std::string_view event, std::optional<std::uint64_t> id) {
+        if (id && entry.lastEvent && *id <= *entry.lastEvent) {
+            return;
+        }
+        entry.lastEvent = id ? id : entry.lastEvent;
+        whole += event;
+    });
+    if (!whole.empty()) {
+        m_parts.out.push_back(answer_stream_bytes{entry.request.caller, std::move(whole)});
+    }
+}
+
+void relay_requests::on(const caller_gone &message)
+{
+    const auto found = m_entries.find(message.caller);
+    if (found == m_entries.end()) {
+        return;
+    }
+    auto &entry = *found->second;
+    finish(entry, "caller_gone", 0);
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/relay_metrics.cpp
@@ -0,0 +1,29 @@
+#include "relay_metrics.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace plantainpoint {
+
+nlohmann::json relay_metrics::toJson() const
+{
+    nlohmann::json byFailure = nlohmann::json::object();
+    for (const auto &[reason, count] : failures) {
+        byFailure[std::string(nameOf(reason))] = count;
+    }
+    return {{"requests_received", received},
+            {"results", results},
+            {"failures", std::move(byFailure)},
+            {"dispatches", dispatches},
+            {"prefills", prefills},
+            {"retries", retries},
+            {"resumes", resumes},
+            {"retries_denied", retriesDenied},
+            {"endpoint_refusals", notRun},
+            {"beats_sent", beatsSent},
+            {"beats_received", beatsReceived},
+            {"plain_answer_seconds", plainAnswer.toJson()},
+            {"first_event_seconds", firstEvent.toJson()},
+            {"wait_seconds", wait.toJson()}};
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/relay_metrics.hpp
@@ -0,0 +1,34 @@
+// counters and latencies of a relay VM
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "core_metrics.hpp"
+#include "plantainpoint/relay.hpp"
+
+namespace plantainpoint {
+
+struct relay_metrics {
+    std::uint64_t received = 0;
+    std::map<std::string, std::uint64_t, std::less<>> results; // by outcome
+    std::map<failure, std::uint64_t> failures; // answered by this VM itself
+    std::uint64_t dispatches = 0;
+    std::uint64_t prefills = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t resumes = 0;
+    std::uint64_t retriesDenied = 0; // the budget was used up
+    std::uint64_t notRun = 0; // refusals by endpoints
+    std::uint64_t beatsSent = 0;
+    std::uint64_t beatsReceived = 0;
+    latency_summary plainAnswer;
+    latency_summary firstEvent;
+    latency_summary wait; // for a place
+
+    nlohmann::json toJson() const;
+};
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/relay_outcomes.cpp
@@ -0,0 +1,292 @@
+// ends of attempts and of requests: what is passed on, tried again or given up
+#include "relay_requests.hpp"
+
+#include <algorithm>
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration fullTime = milliseconds{40}; // an endpoint that refused work frees a slot in about this time
+constexpr std::int32_t extraDispatches = 2; // after refusals that ran nothing
+constexpr int firstServerError = 500;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+void relay_requests::on(relay_reply reply)
+{
+    auto *const entry = ofAttempt(reply.attempt);
+    if (entry == nullptr) {
+        return;
+    }
+    noteLoad(entry->attempt->endpoint, reply.load);
+    if (reply.notRun || reply.wrongEndpoint) {
+        ++m_parts.metrics.notRun;
+        onNotRun(*entry, &reply);
+        return;
+    }
+    const bool good = reply.genuine && (isSuccess(reply.status) || reply.status < firstServerError);
+    if (entry->attempt->kind == dispatch_kind::Prefill) {
+        // an answer without a result, whatever its status
+        noteOutcome(*entry, false);
+        closeAttempt(*entry);
+        onPrefillFailed(*entry);
+        return;
+    }
+    if (!reply.genuine) {
+        onLost(*entry, reply_end::Broken);
+        return;
+    }
+    noteOutcome(*entry, good);
+    const auto endpoint = entry->attempt->endpoint;
+    closeAttempt(*entry);
+    if (entry->headSent) {
+        breakOff(*entry, "the resumed stream was refused");
+        return;
+    }
+    if (!good && entry->repeatable() && entry->runs < entry->route->attempts && spendRetry(*entry)) {
+        entry->tried.insert(endpoint);
+        entry->failedReply = std::move(reply);
+        if (tryAgain(*entry)) {
+            return;
+        }
+        reply = std::move(*entry->failedReply);
+    }
+    passOn(*entry, std::move(reply));
+}
+
+void relay_requests::passOn(relay_entry &entry, relay_reply reply)
+{
+    const int status = reply.status;
+    m_parts.metrics.plainAnswer.add(m_parts.clock.now() - entry.arrivedAt);
+    m_parts.out.push_back(answer_plain{entry.request.caller, {}, status, std::move(reply.headers), std::move(reply.body)});
+    finish(entry, "answered", status);
+}
+
+void relay_requests::on(const relay_end &end)
+{
+    auto *const entry = ofAttempt(end.attempt);
+    if (entry == nullptr) {
+        return;
+    }
+    if (end.end == reply_end::Complete) {
+        const auto rest = std::string(entry->route->resumable ? entry->events.rest() : std::string_view{});
+        if (!rest.empty()) {
+            m_parts.out.push_back(answer_stream_bytes{entry->request.caller, rest});
+        }
+        m_parts.out.push_back(answer_stream_end{entry->request.caller});
+        finish(*entry, "streamed", 200);
+        return;
+    }
+    if (entry->attempt->kind == dispatch_kind::Prefill) {
+        noteOutcome(*entry, false);
+        closeAttempt(*entry);
+        onPrefillFailed(*entry);
+    } else if (end.end == reply_end::NotSent) {
+        noteOutcome(*entry, false);
+        onNotRun(*entry, nullptr);
+    } else {
+        onLost(*entry, end.end);
+    }
+}
+
+// the endpoint has not run the request and never will. reply: its refusal, null when nothing was sent.
+void relay_requests::onNotRun(relay_entry &entry, const relay_reply *reply)
+{
+    const auto name = entry.attempt->endpoint;
+    const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
+    auto *const endpoint = m_parts.endpoints.find(name);
+    if (endpoint != nullptr && reply != nullptr && reply->wrongEndpoint) {
+        endpoint->gone = true;
+    } else if (endpoint != nullptr && reply != nullptr) {
+        endpoint->fullUntil = m_parts.clock.now() + fullTime;
+    }
+    closeAttempt(entry);
+    if (prefill) {
+        onPrefillFailed(entry);
+        return;
+    }
+    --entry.runs;
+    entry.tried.insert(name);
+    const bool more = entry.dispatches < entry.route->attempts + extraDispatches;
+    if (more && spendRetry(entry)) {
+        entry.machine.apply(relay_event::place_wanted{});
+        if (place(entry)) {
+            schedule(entry);
+            return;
+        }
+        // every other endpoint is full as well; those that refused may have room by the time of a place
+        entry.tried.clear();
+        if (!entry.headSent) {
+            wait(entry);
+            return;
+        }
+    }
+    if (entry.headSent) {
+        breakOff(entry, "no endpoint resumes the stream");
+    } else if (entry.failedReply) {
+        passOn(entry, std::move(*entry.failedReply));
+    } else {
+        giveUp(entry, failure::Overloaded, outcome::NotRun, "the endpoints refused");
+    }
+}
+
+// the request was sent and its outcome is unknown
+void relay_requests::onLost(relay_entry &entry, reply_end end)
+{
+    noteOutcome(entry, false);
+    const auto name = entry.attempt->endpoint;
+    m_parts.say(severity::Info,
+                part::Place,
+                "request=" + entry.request.payload->id + " attempt lost endpoint=" + name.value + " end=" + std::string(nameOf(end))
+                    + " runs=" + std::to_string(entry.runs));
+    entry.tried.insert(name);
+    closeAttempt(entry);
+    if (entry.repeatable() && entry.runs < entry.route->attempts && spendRetry(entry) && tryAgain(entry)) {
+        return;
+    }
+    if (entry.headSent) {
+        breakOff(entry, "the endpoint broke the stream");
+    } else if (entry.failedReply) {
+        passOn(entry, std::move(*entry.failedReply));
+    } else {
+        const bool late = end == reply_end::TimedOut;
+        giveUp(entry, late ? failure::DeadlineExceeded : failure::EndpointFailed, outcome::Unknown, "the endpoint did not answer");
+    }
+}
+
+// false: no other endpoint has room; the entry is unchanged but for its stage
+bool relay_requests::tryAgain(relay_entry &entry)
+{
+    entry.machine.apply(relay_event::place_wanted{});
+    entry.events = {};
+    if (!place(entry)) {
+        return false;
+    }
+    if (entry.headSent) {
+        ++m_parts.metrics.resumes;
+    }
+    schedule(entry);
+    return true;
+}
+
+void relay_requests::breakOff(relay_entry &entry, std::string_view why)
+{
+    m_parts.out.push_back(answer_broken{entry.request.caller});
+    finish(entry, "broken detail=\"" + std::string(why) + '"', 200);
+}
+
+void relay_requests::tick(time_point now)
+{
+    while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
+        const auto caller = m_wakes.begin()->second;
+        m_wakes.erase(m_wakes.begin());
+        m_wakeOf.erase(caller);
+        auto &entry = *m_entries.at(caller);
+        if (now >= entry.deadline) {
+            if (entry.headSent) {
+                breakOff(entry, "the time for the answer is over");
+            } else if (entry.failedReply) {
+                passOn(entry, std::move(*entry.failedReply));
+            } else if (entry.runs > 0) {
+                noteOutcome(entry, false);
+                giveUp(entry, failure::DeadlineExceeded, outcome::Unknown, "no answer in time");
+            } else {
+                giveUp(entry, failure::Overloaded, outcome::NotRun, "no place in time");
+            }
+        } else if (entry.machine.stage() == relay_stage::Waiting) {
+            if (entry.runs == 0 && !entry.headSent) {
+                giveUp(entry, failure::Overloaded, outcome::NotRun, "no place in time");
+            } else {
+                schedule(entry);
+            }
+        } else if (entry.attempt && entry.attempt->moveOnAt && now >= *entry.attempt->moveOnAt) {
+            moveOn(entry);
+        } else {
+            schedule(entry);
+        }
+    }
+}
+
+// the attempt is overdue; another endpoint gets the request if one has room
+void relay_requests::moveOn(relay_entry &entry)
+{
+    const auto name = entry.attempt->endpoint;
+    const auto number = entry.attempt->number;
+    const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
+    entry.attempt->moveOnAt.reset();
+    if (!prefill && !(entry.runs < entry.route->attempts && canPlaceElsewhere(entry) && spendRetry(entry))) {
+        schedule(entry);
+        return;
+    }
+    noteOutcome(entry, false);
+    m_parts.say(severity::Info, part::Place, "request=" + entry.request.payload->id + " attempt overdue endpoint=" + name.value);
+    entry.tried.insert(name);
+    m_parts.out.push_back(relay_abort{number});
+    closeAttempt(entry);
+    if (prefill) {
+        onPrefillFailed(entry);
+    } else if (!tryAgain(entry)) {
+        wait(entry);
+    }
+}
+
+bool relay_requests::canPlaceElsewhere(const relay_entry &entry)
+{
+    const auto now = m_parts.clock.now();
+    auto excluded = entry.tried;
+    excluded.insert(entry.attempt->endpoint);
+    const auto usable = [&](const endpoint_entry *each) { return !excluded.contains(each->info.name) && each->fullUntil <= now; };
+    const auto role = entry.isStream() ? endpoint_role::Decode : endpoint_role::Plain;
+    const auto candidates = m_parts.endpoints.candidates(entry.service, role, now);
+    return std::any_of(candidates.begin(), candidates.end(), usable);
+}
+
+// the caller has its final answer or is gone
+void relay_requests::finish(relay_entry &entry, std::string_view result, int status)
+{
+    logEnd(entry, result, status);
+    if (entry.attempt) {
+        m_parts.out.push_back(relay_abort{entry.attempt->number});
+    }
+    closeAttempt(entry);
+    releaseReservation(entry);
+    releaseSource(entry);
+    leaveQueue(entry);
+    entry.machine.apply(relay_event::ended{});
+    const auto caller = entry.request.caller;
+    const auto wake = m_wakeOf.find(caller);
+    if (wake != m_wakeOf.end()) {
+        m_wakes.erase({wake->second, caller});
+        m_wakeOf.erase(wake);
+    }
+    m_entries.erase(caller);
+}
+
+void relay_requests::logEnd(const relay_entry &entry, std::string_view result, int status) const
+{
+    const auto kind = result.substr(0, result.find(' '));
+    const auto found = m_parts.metrics.results.find(kind);
+    if (found == m_parts.metrics.results.end()) {
+        m_parts.metrics.results.emplace(kind, 1);
+    } else {
+        ++found->second;
+    }
+    const auto total = std::chrono::duration_cast<milliseconds>(m_parts.clock.now() - entry.arrivedAt).count();
+    std::string text = "request=" + entry.request.payload->id + " result=" + std::string(result) + " status=" + std::to_string(status)
+        + " stage=" + std::string(nameOf(entry.machine.stage())) + " route=" + entry.route->name + " service=" + entry.service.value;
+    text += " account=" + (entry.account != nullptr ? entry.account->name.value : std::string("-"));
+    text += " endpoint=" + (entry.lastEndpoint.empty() ? std::string("-") : entry.lastEndpoint.value);
+    text += " dispatches=" + std::to_string(entry.dispatches) + " total_ms=" + std::to_string(total);
+    text += " config=" + std::to_string(entry.table->version()) + " directory=" + std::to_string(m_parts.endpoints.position());
+    m_parts.say(severity::Info, part::Http, std::move(text));
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/relay_placement.cpp
@@ -0,0 +1,166 @@
+#include "relay_placement.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double remotePenalty = 0.2; // of a full endpoint: crossing data centres costs time and traffic
+constexpr double failurePenalty = 4; // of a full endpoint, at a failure part of 1
+constexpr double silencePenalty = 3; // of a full endpoint whose answers are overdue
+constexpr double silenceFactor = 4; // answers count as overdue after this multiple of the mean time
+constexpr duration shortestSilence = milliseconds{200}; // scheduling delays of a busy machine are shorter
+constexpr std::int32_t plainQueueFactor = 2; // work that plain endpoints hold, as a multiple of their slots; they refuse at five times
+constexpr double kvFill = 0.9; // of the engine memory; outputs that exceed their estimate use the rest
+constexpr double failureDelayMs = 600; // of expected first event, at a failure part of 1
+constexpr double silenceDelayMs = 1200;
+constexpr double remoteDelayMs = 4; // prefers near endpoints among equally loaded ones
+constexpr double runningDelayMs = 3; // of one more running request in the batch
+constexpr duration modelSilence = milliseconds{1500}; // no first event for so long is overdue
+
+bool isOverdue(const endpoint_entry &entry, duration floor, time_point now)
+{
+    const auto expected = std::chrono::duration_cast<duration>(entry.experience.meanTime() * silenceFactor);
+    return entry.longestSilence(now) > std::max(expected, floor);
+}
+
+bool eligible(const endpoint_entry &entry, const placement_context &context)
+{
+    return !context.excluded.contains(entry.info.name) && entry.fullUntil <= context.now;
+}
+
+double plainCost(const endpoint_entry &entry, std::int32_t running, const placement_context &context)
+{
+    double cost = static_cast<double>(running + 1) / std::max(entry.info.slots, 1);
+    cost += entry.info.dataCentre == context.dataCentre ? 0 : remotePenalty;
+    cost += failurePenalty * entry.experience.failurePart(context.now);
+    cost += isOverdue(entry, shortestSilence, context.now) ? silencePenalty : 0;
+    return cost;
+}
+
+// delay in milliseconds that the endpoint's history and distance stand for
+double modelPenalty(const endpoint_entry &entry, const placement_context &context)
+{
+    double delay = entry.info.dataCentre == context.dataCentre ? 0 : remoteDelayMs;
+    delay += failureDelayMs * entry.experience.failurePart(context.now);
+    delay += isOverdue(entry, modelSilence, context.now) ? silenceDelayMs : 0;
+    return delay;
+}
+
+struct engine_load {
+    std::int32_t running = 0;
+    std::int64_t prefillTokens = 0;
+    std::int64_t kvTokens = 0;
+};
+
+engine_load loadOf(const endpoint_entry &entry, const placement_context &context)
+{
+    const auto own = entry.ownLoad();
+    const auto others = context.fleet.loadAt(entry.info.name, context.now);
+    return {own.running + others.running, own.prefillTokens + others.prefillTokens, own.kvTokens + others.kvTokens};
+}
+
+double readingMs(std::int64_t tokens, double tokensPerMs)
+{
+    return static_cast<double>(tokens) / tokensPerMs;
+}
+
+duration ofMs(double value)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+struct scored {
+    endpoint_entry *entry = nullptr;
+    double delayMs = std::numeric_limits<double>::infinity();
+
+    void offer(endpoint_entry *candidate, double delay)
+    {
+        if (delay < delayMs) {
+            entry = candidate;
+            delayMs = delay;
+        }
+    }
+};
+
+scored bestPrefill(const std::vector<endpoint_entry *> &prefills, const token_count &tokens, const placement_context &context)
+{
+    scored best;
+    for (auto *entry : prefills) {
+        if (!eligible(*entry, context)) {
+            continue;
+        }
+        const auto load = loadOf(*entry, context);
+        if (load.running >= entry->info.slots) {
+            continue;
+        }
+        best.offer(entry, readingMs(load.prefillTokens + tokens.prompt, context.speeds.prefillTokensPerMs) + modelPenalty(*entry, context));
+    }
+    return best;
+}
+
+} // namespace
+
+duration readingTime(std::int64_t tokens, double tokensPerMs)
+{
+    return ofMs(readingMs(tokens, tokensPerMs));
+}
+
+endpoint_entry *choosePlain(const std::vector<endpoint_entry *> &candidates, const placement_context &context)
+{
+    endpoint_entry *best = nullptr;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (auto *entry : candidates) {
+        const auto running = static_cast<std::int32_t>(entry->open.size()) + context.fleet.loadAt(entry->info.name, context.now).running;
+        if (!eligible(*entry, context) || running >= entry->info.slots * plainQueueFactor) {
+            continue;
+        }
+        const double cost = plainCost(*entry, running, context);
+        if (cost < bestCost) {
+            best = entry;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<model_placement> chooseModel(const std::vector<endpoint_entry *> &prefills,
+                                           const std::vector<endpoint_entry *> &decodes,
+                                           const engine_profile &profile,
+                                           const token_count &tokens,
+                                           const placement_context &context)
+{
+    const auto memory = static_cast<std::int64_t>(kvFill * static_cast<double>(profile.kvTokens));
+    scored direct;
+    scored importing;
+    for (auto *entry : decodes) {
+        const auto load = loadOf(*entry, context);
+        const bool fits = load.kvTokens == 0 || load.kvTokens + tokens.total() <= memory;
+        if (!eligible(*entry, context) || load.running >= entry->info.slots || !fits) {
+            continue;
+        }
+        const double common = modelPenalty(*entry, context) + runningDelayMs * load.running;
+        // a prompt that is being read there delays the tokens of an imported request by a chunk at a time
+        importing.offer(entry, common + (load.prefillTokens > 0 ? readingMs(std::min<std::int64_t>(load.prefillTokens, 2048), context.speeds.decodePrefillTokensPerMs) : 0));
+        direct.offer(entry, common + readingMs(load.prefillTokens + tokens.prompt, context.speeds.decodePrefillTokensPerMs));
+    }
+    if (direct.entry == nullptr) {
+        return std::nullopt;
+    }
+    const model_placement alone{nullptr, direct.entry, ofMs(direct.delayMs)};
+    if (alone.expected <= context.speeds.directLimit) {
+        return alone;
+    }
+    const auto prefill = bestPrefill(prefills, tokens, context);
+    const auto apart = ofMs(prefill.delayMs == std::numeric_limits<double>::infinity() ? 0 : prefill.delayMs + importing.delayMs) + context.speeds.handover;
+    if (prefill.entry == nullptr || apart >= alone.expected) {
+        return alone;
+    }
+    return model_placement{prefill.entry, importing.entry, apart};
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/src/relay_requests.hpp
@@ -0,0 +1,157 @@
+// requests that a relay VM holds, from arrival to their final answer
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "endpoint_directory.hpp"
+#include "event_splitter.hpp"
+#include "fleet_limiter.hpp"
+#include "fleet_view.hpp"
+#include "plantainpoint/relay_core.hpp"
+#include "relay_machine.hpp"
+#include "relay_metrics.hpp"
+#include "relay_placement.hpp"
+#include "retry_budget.hpp"
+#include "route_table.hpp"
+
+namespace plantainpoint {
+
+// tables that the paths of a relayed request share
+struct relay_parts {
+    relay_parts(relay_settings given, const clock_source &time);
+
+    void say(severity level, part from, std::string text) { out.push_back(log_line{level, from, std::nullopt, std::move(text)}); }
+
+    relay_settings settings;
+    const clock_source &clock;
+    engine_speeds speeds;
+    std::shared_ptr<const route_table> routes; // null until a configuration is known
+    endpoint_directory endpoints;
+    fleet_view fleet;
+    fleet_limiter limiter;
+    relay_metrics metrics;
+    std::vector<relay_command> out;
+    bool shuttingDown = false;
+};
+
+// one dispatch that has not ended
+struct relay_attempt {
+    attempt_number number = 0;
+    endpoint_name endpoint;
+    dispatch_kind kind = dispatch_kind::Plain;
+    time_point sentAt{};
+    std::optional<time_point> moveOnAt; // another endpoint is tried then, if there is one
+};
+
+struct relay_entry {
+    relay_request request;
+    std::shared_ptr<const route_table> table; // keeps the route and the account alive
+    const relay_route *route = nullptr;
+    const relay_account *account = nullptr; // null on an open route without a key
+    service_name service;
+    double units = 0; // taken from the account's limit
+    time_point arrivedAt{};
+    time_point deadline{};
+    relay_machine machine;
+    std::optional<relay_attempt> attempt;
+    std::optional<attempt_number> reserved; // slot at the decode endpoint while the prompt is read
+    endpoint_name reservedAt;
+    std::optional<prefill_source> source; // prefill result that no decode endpoint has taken
+    std::set<endpoint_name> tried;
+    endpoint_name lastEndpoint;
+    std::int32_t runs = 0; // dispatches that an endpoint may have run
+    std::int32_t dispatches = 0; // without the first prefill
+    bool prefillTried = false;
+    std::optional<relay_reply> failedReply; // passed on when no other endpoint answers better
+    event_splitter events;
+    std::optional<std::uint64_t> lastEvent; // that the caller has
+    bool headSent = false;
+
+    bool isStream() const { return route->policy == repeat_policy::Stream; }
+    // may run once more after an attempt whose outcome is unknown
+    bool repeatable() const { return route->policy == repeat_policy::Idempotent || (isStream() && route->resumable); }
+};
+
+class relay_requests
+{
+public:
+    explicit relay_requests(relay_parts &parts);
+
+    void on(relay_request request);
+    void on(const caller_gone &message);
+    void on(relay_reply reply);
+    void on(prefill_reply reply);
+    void on(stream_head head);
+    void on(stream_part part);
+    void on(const relay_end &end);
+
+    // endpoints or load have changed: places requests that wait
+    void placeWaiting();
+    // deadlines, attempts that are overdue
+    void tick(time_point now);
+    std::optional<time_point> nextWake() const;
+    std::size_t open() const { return m_entries.size(); }
+    std::size_t waiting() const;
+
+private:
+    using entry_ptr = std::unique_ptr<relay_entry>;
+
+    // admission
+    const relay_account *authorise(const relay_request &request, const relay_route &route);
+    bool admit(relay_entry &entry);
+    void refuse(caller_id caller, const relay_payload &payload, failure reason, std::optional<duration> retryAfter, std::string_view detail);
+
+    // placement
+    bool place(relay_entry &entry);
+    bool placePlain(relay_entry &entry);
+    bool placeModel(relay_entry &entry);
+    void wait(relay_entry &entry);
+    void leaveQueue(const relay_entry &entry);
+    placement_context context(const relay_entry &entry) const;
+
+    // attempts
+    void send(relay_entry &entry, endpoint_entry &endpoint, dispatch_kind kind, std::int64_t prefillTokens);
+    void sendDecode(relay_entry &entry, endpoint_entry &endpoint);
+    std::optional<time_point> moveOnTime(const relay_entry &entry, dispatch_kind kind, duration expected) const;
+    relay_entry *ofAttempt(attempt_number number);
+    void closeAttempt(relay_entry &entry);
+    void releaseReservation(relay_entry &entry);
+    void releaseSource(relay_entry &entry);
+    void noteLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
+    void noteOutcome(const relay_entry &entry, bool good);
+    bool spendRetry(const relay_entry &entry);
+
+    // outcomes
+    void onNotRun(relay_entry &entry, const relay_reply *reply);
+    void onLost(relay_entry &entry, reply_end end);
+    void onPrefillFailed(relay_entry &entry);
+    bool tryAgain(relay_entry &entry);
+    void moveOn(relay_entry &entry);
+    bool canPlaceElsewhere(const relay_entry &entry);
+    // answers with a failure; one that claims not run is corrected when an attempt may have run
+    void giveUp(relay_entry &entry, failure reason, outcome result, std::string_view detail);
+    void passOn(relay_entry &entry, relay_reply reply);
+    void breakOff(relay_entry &entry, std::string_view why);
+    void forward(relay_entry &entry, std::string_view bytes);
+    void finish(relay_entry &entry, std::string_view result, int status);
+    void logEnd(const relay_entry &entry, std::string_view result, int status) const;
+
+    void schedule(relay_entry &entry);
+
+    relay_parts &m_parts;
+    std::unordered_map<caller_id, entry_ptr> m_entries;
+    std::unordered_map<attempt_number, caller_id> m_attempts;
+    std::map<service_name, std::deque<caller_id>> m_waiting;
+    std::map<service_name, retry_budget> m_budgets;
+    std::set<std::pair<time_point, caller_id>> m_wakes;
+    std::unordered_map<caller_id, time_point> m_wakeOf;
+    attempt_number m_lastAttempt = 0;
+};
+
+} // namespace plantainpoint
--- a/src/retry_budget.hpp
+++ b/src/retry_budget.hpp
@@ -9,8 +9,19 @@
 class retry_budget
 {
 public:
+    static constexpr std::int64_t perRetry = 1000; // thousandths of a retry
+
+    retry_budget() = default;
+    // thousandths of a retry: earned per request, kept at most, there at the start
+    retry_budget(std::int64_t perRequest, std::int64_t limit, std::int64_t initial)
+        : m_perRequest(perRequest)
+        , m_limit(limit)
+        , m_thousandths(initial)
+    {
+    }
+
     // a request has been admitted
-    void earn() { m_thousandths = std::min(m_thousandths + perRequest, limit); }
+    void earn() { m_thousandths = std::min(m_thousandths + m_perRequest, m_limit); }
 
     // false when the budget is used up
     bool spend()
@@ -25,10 +36,8 @@
     std::int64_t left() const { return m_thousandths / perRetry; }
 
 private:
-    static constexpr std::int64_t perRetry = 1000;
-    static constexpr std::int64_t perRequest = 100; // a retry for every tenth request
-    static constexpr std::int64_t limit = 100 * perRetry;
-
+    std::int64_t m_perRequest = 100; // a retry for every tenth request
+    std::int64_t m_limit = 100 * perRetry;
     // a VM that has just started can retry its first requests
     std::int64_t m_thousandths = 10 * perRetry;
 };
