Place model requests by expected memory and by whether they can meet their objective

Cause: a request declares 7,540 output tokens but makes about 4,000, so that five requests filled an engine; bursts made every waiting request late. Change: memory by the length hint; on-time requests leave the queue first; failures that an endpoint answers itself are final.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -23,6 +23,7 @@
 struct token_count {
     std::int64_t prompt = 0;
     std::int64_t output = 0; // at most
+    std::optional<std::int64_t> likelyOutput; // estimate of the caller
 
     std::int64_t total() const { return prompt + output; }
 };
--- a/include/plantainpoint/relay_core.hpp
+++ b/include/plantainpoint/relay_core.hpp
@@ -19,6 +19,7 @@
     std::string peerAddress; // IP:PORT for beats and state transfer
     double retryRatio = 0.2; // retries of the whole fleet per request of a service
     double retrySlack = 50; // further retries of the whole fleet within the window that the operator watches
+    double limitTolerance = 0; // units beyond its burst that an operator lets an account have; admitted in full by no VM alone
     double prefillTokensPerMs = 55; // of a prefill endpoint
     double decodePrefillTokensPerMs = 27; // of a decode endpoint that reads a prompt itself
     duration directLimit = std::chrono::milliseconds{350}; // expected first event up to which a decode endpoint reads the prompt itself
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -30,6 +30,15 @@
     section.finish();
 }
 
+void readLimits(settings_section &&section, relay_settings &out)
+{
+    constexpr double percent = 100;
+    const auto tolerance = static_cast<double>(section.integer("tolerance", 0, 0, 1'000'000'000));
+    // the rest of the tolerance covers admissions that other VMs have not heard of yet
+    out.limitTolerance = tolerance * static_cast<double>(section.integer("tolerance_used_percent", 50, 0, 100)) / percent;
+    section.finish();
+}
+
 void readEngines(settings_section &&section, relay_settings &out)
 {
     constexpr std::int64_t fastest = 1'000'000;
@@ -66,6 +75,7 @@
     out.core.drainTime = root.time("drain_time", milliseconds{3000}, milliseconds{0}, milliseconds{60'000});
     out.directoryInterval = root.time("directory_interval", out.directoryInterval, milliseconds{50}, milliseconds{10'000});
     readRetries(root.section("retries"), out.core, errors);
+    readLimits(root.section("limits"), out.core);
     readEngines(root.section("engines"), out.core);
     readLogging(root.section("logging"), out);
     root.finish();
--- a/src/fleet_limiter.cpp
+++ b/src/fleet_limiter.cpp
@@ -21,13 +21,13 @@
         const auto [found, added] = m_buckets.try_emplace(account.name);
         auto &entry = found->second;
         if (added) {
-            entry.level = account.burst;
+            entry.level = account.burst + m_tolerance;
             entry.refilledAt = now;
         } else {
             refill(entry, now);
         }
         entry.rate = account.rate;
-        entry.burst = account.burst;
+        entry.burst = account.burst + m_tolerance;
         entry.level = std::min(entry.level, entry.burst);
     }
 }
--- a/src/fleet_limiter.hpp
+++ b/src/fleet_limiter.hpp
@@ -14,6 +14,12 @@
 class fleet_limiter
 {
 public:
+    // tolerance: units that each account may have beyond its burst
+    explicit fleet_limiter(double tolerance = 0)
+        : m_tolerance(tolerance)
+    {
+    }
+
     void setAccounts(const std::vector<relay_account> &accounts, time_point now);
 
     // parts of the fleet whose admissions are known here; the rate shrinks to that part, so that VMs that cannot hear each other
@@ -47,6 +53,7 @@
 
     std::unordered_map<account_name, bucket> m_buckets;
     std::unordered_map<vm_name, peer_usage> m_peers;
+    double m_tolerance;
     double m_visibility = 1;
 };
 
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -12,6 +12,9 @@
 constexpr duration configurationRetry = milliseconds{500}; // a VM that has just started learns its configuration in this time
 constexpr duration noEndpointRetry = milliseconds{300}; // endpoints announce themselves about once a second
 constexpr duration shortestOverloadRetry = milliseconds{200};
+constexpr duration streamStart = milliseconds{120}; // from the end of a prefill to the first event at a busy endpoint
+constexpr std::int64_t abandonFactor = 4; // callers leave a stream without an event after this multiple of its objective
+constexpr duration shortestAbandon = milliseconds{2000};
 constexpr double longestWaitPart = 0.6; // of the time that a request has; a caller that is refused later cannot come back in time
 
 std::string millisText(duration value)
@@ -35,6 +38,7 @@
              .decodePrefillTokensPerMs = settings.decodePrefillTokensPerMs,
              .directLimit = settings.directLimit}
     , fleet(settings.self, settings.peerAddress)
+    , limiter(settings.limitTolerance)
 {
 }
 
@@ -173,7 +177,7 @@
     entry.prefillTried = true;
     entry.reserved = ++m_lastAttempt;
     entry.reservedAt = placement->decode->info.name;
-    placement->decode->open.emplace(*entry.reserved, open_work{now, 0, entry.request.tokens->total(), true});
+    placement->decode->open.emplace(*entry.reserved, open_work{now, 0, expectedMemory(*entry.request.tokens), true});
     send(entry, *placement->prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
     return true;
 }
@@ -199,7 +203,7 @@
     }
     const auto ahead = static_cast<std::int64_t>((queue.size() + 1) * m_parts.fleet.heard(now));
     const auto expected = meanTime * ahead / slots;
-    if (expected > std::chrono::duration_cast<duration>((entry.deadline - now) * longestWaitPart)) {
+    if (expected > std::chrono::duration_cast<duration>((patienceEnd(entry) - now) * longestWaitPart)) {
         giveUp(entry, failure::Overloaded, outcome::NotRun, "expected wait of " + millisText(expected) + " ms");
         return;
     }
@@ -225,21 +229,48 @@
     }
 }
 
+// requests that can still meet their objective go first, so that an overload makes few of them late instead of all
 void relay_requests::placeWaiting()
 {
     for (auto &[service, queue] : m_waiting) {
+        placeWaiting(queue, false);
+        placeWaiting(queue, true);
+    }
+}
+
+void relay_requests::placeWaiting(std::deque<caller_id> &queue, bool late)
+{
+    for (auto at = queue.begin(); at != queue.end();) {
+        auto &entry = *m_entries.at(*at);
+        if (isLate(entry) != late) {
+            ++at;
+            continue;
+        }
         // the first one keeps its turn, so that large requests do not starve
-        while (!queue.empty()) {
-            const auto caller = queue.front();
-            auto &entry = *m_entries.at(caller);
-            if (!place(entry)) {
-                break;
-            }
-            m_parts.metrics.wait.add(m_parts.clock.now() - entry.arrivedAt);
-            queue.pop_front();
-            schedule(entry);
+        if (!place(entry)) {
+            return;
         }
+        m_parts.metrics.wait.add(m_parts.clock.now() - entry.arrivedAt);
+        at = queue.erase(at);
+        schedule(entry);
+    }
+}
+
+bool relay_requests::isLate(const relay_entry &entry) const
+{
+    const auto &tokens = entry.request.tokens;
+    const auto needed = tokens ? readingTime(tokens->prompt, m_parts.speeds.prefillTokensPerMs) + streamStart : duration{};
+    return m_parts.clock.now() + needed > entry.arrivedAt + entry.route->objective;
+}
+
+// the instant at which the caller gives up before the first byte of the answer
+time_point relay_requests::patienceEnd(const relay_entry &entry) const
+{
+    if (!entry.isStream()) {
+        return entry.deadline;
     }
+    const auto gap = std::max<duration>(entry.route->objective * abandonFactor, shortestAbandon);
+    return std::min(entry.deadline, entry.arrivedAt + gap);
 }
 
 std::size_t relay_requests::waiting() const
@@ -280,7 +311,7 @@
 {
     auto at = entry.deadline;
     if (entry.machine.stage() == relay_stage::Waiting && !entry.headSent) {
-        at = std::min(at, entry.arrivedAt + std::chrono::duration_cast<duration>((entry.deadline - entry.arrivedAt) * longestWaitPart));
+        at = std::min(at, entry.arrivedAt + std::chrono::duration_cast<duration>((patienceEnd(entry) - entry.arrivedAt) * longestWaitPart));
     }
     if (entry.attempt && entry.attempt->moveOnAt) {
         at = std::min(at, *entry.attempt->moveOnAt);
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -42,7 +42,7 @@
                                                        : readingTime(prefillTokens,
                                                                      kind == dispatch_kind::Prefill ? m_parts.speeds.prefillTokensPerMs
                                                                                                     : m_parts.speeds.decodePrefillTokensPerMs);
-    endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? tokens->total() : 0, false});
+    endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? expectedMemory(*tokens) : 0, false});
     if (kind == dispatch_kind::Prefill) {
         ++m_parts.metrics.prefills;
         entry.machine.apply(relay_event::prefill_sent{});
@@ -53,6 +53,7 @@
         entry.machine.apply(relay_event::sent{});
     }
     entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, moveOnTime(entry, kind, expected)};
+    entry.placedAt = entry.placedAt.value_or(now);
     entry.lastEndpoint = endpoint.info.name;
     m_attempts.emplace(number, entry.request.caller);
     const auto *const account = entry.account;
@@ -214,6 +215,11 @@
             m_parts.metrics.firstEvent.add(now - entry->arrivedAt);
         }
     }
+    if (entry->firstEventAt) {
+        entry->longestGap = std::max(entry->longestGap, now - entry->lastPartAt);
+    }
+    entry->firstEventAt = entry->firstEventAt.value_or(now);
+    entry->lastPartAt = now;
     if (entry->attempt->moveOnAt) {
         entry->attempt->moveOnAt = now + std::max<duration>(entry->route->gapObjective * gapFactor, milliseconds{700});
         schedule(*entry);
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -13,6 +13,17 @@
 constexpr std::int32_t extraDispatches = 2; // after refusals that ran nothing
 constexpr int firstServerError = 500;
 
+std::string tokensText(const relay_entry &entry)
+{
+    const auto &tokens = entry.request.tokens;
+    return tokens ? std::to_string(tokens->prompt) + '+' + std::to_string(tokens->output) : std::string("-");
+}
+
+std::string millisText(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -44,21 +55,13 @@
         onLost(*entry, reply_end::Broken);
         return;
     }
+    // a failure that the endpoint itself answers is the result of the request: another endpoint gives the same one
     noteOutcome(*entry, good);
-    const auto endpoint = entry->attempt->endpoint;
     closeAttempt(*entry);
     if (entry->headSent) {
         breakOff(*entry, "the resumed stream was refused");
         return;
     }
-    if (!good && entry->repeatable() && entry->runs < entry->route->attempts && spendRetry(*entry)) {
-        entry->tried.insert(endpoint);
-        entry->failedReply = std::move(reply);
-        if (tryAgain(*entry)) {
-            return;
-        }
-        reply = std::move(*entry->failedReply);
-    }
     passOn(*entry, std::move(reply));
 }
 
@@ -108,6 +111,7 @@
     } else if (endpoint != nullptr && reply != nullptr) {
         endpoint->fullUntil = m_parts.clock.now() + fullTime;
     }
+    logNotRun(entry, reply);
     closeAttempt(entry);
     if (prefill) {
         onPrefillFailed(entry);
@@ -131,13 +135,30 @@
     }
     if (entry.headSent) {
         breakOff(entry, "no endpoint resumes the stream");
-    } else if (entry.failedReply) {
-        passOn(entry, std::move(*entry.failedReply));
     } else {
         giveUp(entry, failure::Overloaded, outcome::NotRun, "the endpoints refused");
     }
 }
 
+void relay_requests::logNotRun(const relay_entry &entry, const relay_reply *reply) const
+{
+    const auto &attempt = *entry.attempt;
+    const auto *const endpoint = m_parts.endpoints.find(attempt.endpoint);
+    std::string text = "request=" + entry.request.payload->id + " not run kind=" + std::string(nameOf(attempt.kind)) + " endpoint=" + attempt.endpoint.value;
+    text += " status=" + std::to_string(reply != nullptr ? reply->status : 0);
+    if (reply != nullptr && reply->load) {
+        text += " reported=" + std::to_string(reply->load->running) + '+' + std::to_string(reply->load->waiting);
+    }
+    if (endpoint != nullptr) {
+        const auto own = endpoint->ownLoad();
+        const auto others = m_parts.fleet.loadAt(attempt.endpoint, m_parts.clock.now());
+        text += " own=" + std::to_string(own.running) + '/' + std::to_string(own.kvTokens) + " others=" + std::to_string(others.running) + '/'
+            + std::to_string(others.kvTokens);
+    }
+    text += " after_ms=" + millisText(m_parts.clock.now() - attempt.sentAt);
+    m_parts.say(severity::Info, part::Place, std::move(text));
+}
+
 // the request was sent and its outcome is unknown
 void relay_requests::onLost(relay_entry &entry, reply_end end)
 {
@@ -154,8 +175,6 @@
     }
     if (entry.headSent) {
         breakOff(entry, "the endpoint broke the stream");
-    } else if (entry.failedReply) {
-        passOn(entry, std::move(*entry.failedReply));
     } else {
         const bool late = end == reply_end::TimedOut;
         giveUp(entry, late ? failure::DeadlineExceeded : failure::EndpointFailed, outcome::Unknown, "the endpoint did not answer");
@@ -193,8 +212,6 @@
         if (now >= entry.deadline) {
             if (entry.headSent) {
                 breakOff(entry, "the time for the answer is over");
-            } else if (entry.failedReply) {
-                passOn(entry, std::move(*entry.failedReply));
             } else if (entry.runs > 0) {
                 noteOutcome(entry, false);
                 giveUp(entry, failure::DeadlineExceeded, outcome::Unknown, "no answer in time");
@@ -279,12 +296,17 @@
     } else {
         ++found->second;
     }
-    const auto total = std::chrono::duration_cast<milliseconds>(m_parts.clock.now() - entry.arrivedAt).count();
     std::string text = "request=" + entry.request.payload->id + " result=" + std::string(result) + " status=" + std::to_string(status)
         + " stage=" + std::string(nameOf(entry.machine.stage())) + " route=" + entry.route->name + " service=" + entry.service.value;
     text += " account=" + (entry.account != nullptr ? entry.account->name.value : std::string("-"));
     text += " endpoint=" + (entry.lastEndpoint.empty() ? std::string("-") : entry.lastEndpoint.value);
-    text += " dispatches=" + std::to_string(entry.dispatches) + " total_ms=" + std::to_string(total);
+    text += " dispatches=" + std::to_string(entry.dispatches) + (entry.prefillTried ? "+prefill" : "") + " tokens=" + tokensText(entry) + " total_ms=" + millisText(m_parts.clock.now() - entry.arrivedAt);
+    if (entry.firstEventAt) {
+        text += " first_ms=" + millisText(*entry.firstEventAt - entry.arrivedAt) + " gap_ms=" + millisText(entry.longestGap);
+    }
+    if (entry.placedAt) {
+        text += " placed_ms=" + millisText(*entry.placedAt - entry.arrivedAt);
+    }
     text += " config=" + std::to_string(entry.table->version()) + " directory=" + std::to_string(m_parts.endpoints.position());
     m_parts.say(severity::Info, part::Http, std::move(text));
 }
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -15,7 +15,8 @@
 constexpr double silenceFactor = 4; // answers count as overdue after this multiple of the mean time
 constexpr duration shortestSilence = milliseconds{200}; // scheduling delays of a busy machine are shorter
 constexpr std::int32_t plainQueueFactor = 2; // work that plain endpoints hold, as a multiple of their slots; they refuse at five times
-constexpr double kvFill = 0.9; // of the engine memory; outputs that exceed their estimate use the rest
+constexpr double kvFill = 0.95; // of the engine memory; outputs that exceed their estimate use the rest
+constexpr double outputHeld = 0.6; // of the expected output, averaged over the run, with a margin for the spread of the estimates
 constexpr double failureDelayMs = 600; // of expected first event, at a failure part of 1
 constexpr double silenceDelayMs = 1200;
 constexpr double remoteDelayMs = 4; // prefers near endpoints among equally loaded ones
@@ -105,6 +106,12 @@
 
 } // namespace
 
+std::int64_t expectedMemory(const token_count &tokens)
+{
+    const auto output = std::clamp<std::int64_t>(tokens.likelyOutput.value_or(tokens.output), 0, tokens.output);
+    return tokens.prompt + static_cast<std::int64_t>(outputHeld * static_cast<double>(output));
+}
+
 duration readingTime(std::int64_t tokens, double tokensPerMs)
 {
     return ofMs(readingMs(tokens, tokensPerMs));
@@ -139,7 +146,7 @@
     scored importing;
     for (auto *entry : decodes) {
         const auto load = loadOf(*entry, context);
-        const bool fits = load.kvTokens == 0 || load.kvTokens + tokens.total() <= memory;
+        const bool fits = load.kvTokens == 0 || load.kvTokens + expectedMemory(tokens) <= memory;
         if (!eligible(*entry, context) || load.running >= entry->info.slots || !fits) {
             continue;
         }
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -42,6 +42,9 @@
                                            const token_count &tokens,
                                            const placement_context &context);
 
+// engine memory that a request takes on average while it runs: its prompt and a part of its output
+std::int64_t expectedMemory(const token_count &tokens);
+
 // time in which an endpoint reads tokens at a speed
 duration readingTime(std::int64_t tokens, double tokensPerMs);
 
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -68,7 +68,10 @@
     std::int32_t runs = 0; // dispatches that an endpoint may have run
     std::int32_t dispatches = 0; // without the first prefill
     bool prefillTried = false;
-    std::optional<relay_reply> failedReply; // passed on when no other endpoint answers better
+    std::optional<time_point> placedAt; // first dispatch
+    std::optional<time_point> firstEventAt;
+    time_point lastPartAt{};
+    duration longestGap{}; // between two parts of a stream
     event_splitter events;
     std::optional<std::uint64_t> lastEvent; // that the caller has
     bool headSent = false;
@@ -112,6 +115,9 @@
     bool placePlain(relay_entry &entry);
     bool placeModel(relay_entry &entry);
     void wait(relay_entry &entry);
+    void placeWaiting(std::deque<caller_id> &queue, bool late);
+    bool isLate(const relay_entry &entry) const;
+    time_point patienceEnd(const relay_entry &entry) const;
     void leaveQueue(const relay_entry &entry);
     placement_context context(const relay_entry &entry) const;
 
@@ -129,6 +135,7 @@
 
     // outcomes
     void onNotRun(relay_entry &entry, const relay_reply *reply);
+    void logNotRun(const relay_entry &entry, const relay_reply *reply) const;
     void onLost(relay_entry &entry, reply_end end);
     void onPrefillFailed(relay_entry &entry);
     bool tryAgain(relay_entry &entry);
