Leave endpoints without a listener alone and reuse prefill results that nobody fetched

Cause: after a crash of three engines each VM went on choosing them; 60 prompts were read and their results lapsed.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -248,6 +248,10 @@
     std::string address;
 };
 
+// no request is taken any more: idle connections end and no new one is accepted
+struct close_to_callers {
+};
+
 using relay_command = std::variant<answer_plain,
                                    answer_failure,
                                    answer_stream_head,
@@ -259,6 +263,7 @@
                                    release_prefill,
                                    send_beat,
                                    fetch_fleet_state,
+                                   close_to_callers,
                                    log_line,
                                    stopped>;
 
--- a/include/plantainpoint/relay_core.hpp
+++ b/include/plantainpoint/relay_core.hpp
@@ -22,8 +22,11 @@
     double limitTolerance = 0; // units beyond its burst that an operator lets an account have; admitted in full by no VM alone
     double prefillTokensPerMs = 55; // of a prefill endpoint
     double decodePrefillTokensPerMs = 27; // of a decode endpoint that reads a prompt itself
+    double memoryFill = 0.95; // of the engine memory that placement uses
+    double outputHeld = 0.6; // of the expected output that counts as held while a request runs
     duration directLimit = std::chrono::milliseconds{350}; // expected first event up to which a decode endpoint reads the prompt itself
-    duration drainTime = std::chrono::seconds{3}; // new connections still arrive for so long after a shutdown request
+    // requests are still taken for so long after a shutdown request: until the balancer has noticed, and so early that a stream can end
+    duration drainTime = std::chrono::milliseconds{2500};
 };
 
 // decides for one VM. not thread-safe; performs no I/O.
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -76,6 +76,8 @@
     void sweep(std::chrono::steady_clock::time_point now);
     void close();
     bool hasRequest() const { return m_caller != 0; }
+    // neither a request nor a part of one has arrived, and no answer is being written
+    bool isIdle() const { return m_caller == 0 && !m_arriving && m_input.size() == 0 && !hasOutput(); }
     bool hasOutput() const { return m_writing || !m_pending.empty(); }
 
 protected:
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -361,6 +361,20 @@
     m_acceptTimer.cancel();
 }
 
+void http_server::closeIdle()
+{
+    stopListening();
+    std::vector<std::shared_ptr<caller_session>> idle;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->isIdle()) {
+            idle.push_back(session);
+        }
+    }
+    for (const auto &session : idle) {
+        session->close();
+    }
+}
+
 void http_server::closeAll()
 {
     stopListening();
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -57,6 +57,8 @@
     // connections end after their present answer
     void beginClosing() { m_closing = true; }
     void stopListening();
+    // stops listening and ends the connections that have no request
+    void closeIdle();
     void closeAll();
     // no answer is waiting to be written
     bool flushed() const;
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -44,6 +44,9 @@
     constexpr std::int64_t fastest = 1'000'000;
     out.prefillTokensPerMs = static_cast<double>(section.integer("prefill_tokens_per_ms", 55, 1, fastest));
     out.decodePrefillTokensPerMs = static_cast<double>(section.integer("decode_prefill_tokens_per_ms", 27, 1, fastest));
+    constexpr double percent = 100;
+    out.memoryFill = static_cast<double>(section.integer("memory_fill_percent", 95, 1, 100)) / percent;
+    out.outputHeld = static_cast<double>(section.integer("output_held_percent", 60, 0, 100)) / percent;
     out.directLimit = section.time("direct_limit", milliseconds{350}, milliseconds{0}, milliseconds{60'000});
     section.finish();
 }
@@ -72,7 +75,7 @@
     out.peerAddress = root.address("peer");
     out.directoryAddress = root.address("directory");
     out.core.peerAddress = out.peerAddress;
-    out.core.drainTime = root.time("drain_time", milliseconds{3000}, milliseconds{0}, milliseconds{60'000});
+    out.core.drainTime = root.time("drain_time", milliseconds{2500}, milliseconds{0}, milliseconds{60'000});
     out.directoryInterval = root.time("directory_interval", out.directoryInterval, milliseconds{50}, milliseconds{10'000});
     readRetries(root.section("retries"), out.core, errors);
     readLimits(root.section("limits"), out.core);
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -77,6 +77,7 @@
     void run(const send_beat &command) { m_beats.send(command); }
     void run(const fetch_fleet_state &command);
     void run(const log_line &command) { m_logger.write(command); }
+    void run(const close_to_callers & /*command*/) { m_server.closeIdle(); }
     void run(const stopped &command);
 
     boost::asio::io_context &m_io;
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -9,6 +9,8 @@
 
 constexpr double experienceSeconds = 2.5; // time constant: an endpoint that recovers is trusted again after a few seconds
 constexpr double priorAnswers = 3; // answers that a new endpoint is credited with
+constexpr duration firstDownTime = std::chrono::milliseconds{250};
+constexpr duration longestDownTime = std::chrono::seconds{2}; // an endpoint that restarts is back in use within this time
 constexpr double newTimeWeight = 0.15; // of the newest sample in the mean time
 
 } // namespace
@@ -48,6 +50,18 @@
     return !gone && info.condition == endpoint_condition::Ready && (!withdrawnAt || now < *withdrawnAt);
 }
 
+bool endpoint_entry::takesWork(time_point now) const
+{
+    return usable(now) && fullUntil <= now && downUntil <= now;
+}
+
+// an endpoint without a listener refuses within a round trip; one request at a time finds out whether it is back
+void endpoint_entry::onUnreachable(time_point now)
+{
+    downTime = downTime == duration{} ? firstDownTime : std::min(downTime * 2, longestDownTime);
+    downUntil = now + downTime;
+}
+
 duration endpoint_entry::longestSilence(time_point now) const
 {
     duration longest{};
@@ -81,6 +95,8 @@
     const bool changed = restarted || entry.info != info || entry.withdrawnAt || entry.gone;
     if (restarted) {
         entry.experience = {};
+        entry.downUntil = {};
+        entry.downTime = {};
         entry.gone = false;
     }
     entry.info = info;
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -50,9 +50,14 @@
     std::unordered_map<attempt_number, open_work> open;
     std::optional<time_point> withdrawnAt; // still used until then
     time_point fullUntil{}; // it refused work as it had no room
+    time_point downUntil{}; // it took no connection
+    duration downTime{}; // of the next failed connection; doubles with each
     bool gone = false;
 
     bool usable(time_point now) const;
+    // takes work now, as far as this VM knows
+    bool takesWork(time_point now) const;
+    void onUnreachable(time_point now);
     // the longest wait of an open attempt without an answer
     duration longestSilence(time_point now) const;
     endpoint_load ownLoad() const;
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -36,6 +36,8 @@
     , clock(time)
     , speeds{.prefillTokensPerMs = settings.prefillTokensPerMs,
              .decodePrefillTokensPerMs = settings.decodePrefillTokensPerMs,
+             .memoryFill = settings.memoryFill,
+             .outputHeld = settings.outputHeld,
              .directLimit = settings.directLimit}
     , fleet(settings.self, settings.peerAddress)
     , limiter(settings.limitTolerance)
@@ -163,6 +165,13 @@
     const auto now = m_parts.clock.now();
     const auto &profile = *entry.table->service(entry.service)->engine;
     const auto decodes = m_parts.endpoints.candidates(entry.service, endpoint_role::Decode, now);
+    if (entry.source) {
+        if (auto *const decode = chooseDecode(decodes, profile, *entry.request.tokens, context(entry))) {
+            send(entry, *decode, dispatch_kind::Decode, 0);
+            return true;
+        }
+        releaseSource(entry);
+    }
     // only one prefill apart: further ones would count as repeats
     const bool mayPrefill = !entry.prefillTried && !entry.headSent;
     const auto prefills = mayPrefill ? m_parts.endpoints.candidates(entry.service, endpoint_role::Prefill, now) : std::vector<endpoint_entry *>{};
@@ -177,7 +186,7 @@
     entry.prefillTried = true;
     entry.reserved = ++m_lastAttempt;
     entry.reservedAt = placement->decode->info.name;
-    placement->decode->open.emplace(*entry.reserved, open_work{now, 0, expectedMemory(*entry.request.tokens), true});
+    placement->decode->open.emplace(*entry.reserved, open_work{now, 0, expectedMemory(*entry.request.tokens, m_parts.speeds), true});
     send(entry, *placement->prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
     return true;
 }
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -42,7 +42,7 @@
                                                        : readingTime(prefillTokens,
                                                                      kind == dispatch_kind::Prefill ? m_parts.speeds.prefillTokensPerMs
                                                                                                     : m_parts.speeds.decodePrefillTokensPerMs);
-    endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? expectedMemory(*tokens) : 0, false});
+    endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? expectedMemory(*tokens, m_parts.speeds) : 0, false});
     if (kind == dispatch_kind::Prefill) {
         ++m_parts.metrics.prefills;
         entry.machine.apply(relay_event::prefill_sent{});
@@ -52,6 +52,9 @@
         ++m_parts.metrics.dispatches;
         entry.machine.apply(relay_event::sent{});
     }
+    if (kind == dispatch_kind::Decode) {
+        entry.sentSource = std::exchange(entry.source, std::nullopt);
+    }
     entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, moveOnTime(entry, kind, expected)};
     entry.placedAt = entry.placedAt.value_or(now);
     entry.lastEndpoint = endpoint.info.name;
@@ -66,7 +69,7 @@
                                          .priority = account != nullptr && account->priority ? *account->priority : entry.route->priority,
                                          .timeLeft = entry.deadline - now,
                                          .streamed = entry.isStream() && kind == dispatch_kind::Decode,
-                                         .source = kind == dispatch_kind::Decode ? std::exchange(entry.source, std::nullopt) : std::nullopt,
+                                         .source = kind == dispatch_kind::Decode ? entry.sentSource : std::nullopt,
                                          .resumeAfter = entry.lastEvent});
 }
 
@@ -113,6 +116,20 @@
     }
 }
 
+// a decode endpoint that ran nothing has left the prefill result where it is
+void relay_requests::recoverSource(relay_entry &entry)
+{
+    const auto *const service = entry.table->service(entry.service);
+    const auto lifetime = service != nullptr && service->engine ? service->engine->handleLifetime : std::chrono::milliseconds{0};
+    // the fetch has to begin before the result lapses
+    constexpr std::int64_t usablePercent = 70;
+    const bool usable = m_parts.clock.now() - entry.prefilledAt < lifetime * usablePercent / 100;
+    if (usable && !entry.headSent) {
+        entry.source = std::exchange(entry.sentSource, std::nullopt);
+    }
+    entry.sentSource.reset();
+}
+
 // a full endpoint is left alone for a moment; its report is newer than the beats of the other VMs
 void relay_requests::noteLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load)
 {
@@ -162,17 +179,17 @@
     const auto address = prefill != nullptr ? prefill->info.address : std::string{};
     closeAttempt(*entry);
     entry->source = prefill_source{address, std::move(reply.handle)};
+    entry->prefilledAt = m_parts.clock.now();
     auto *const decode = m_parts.endpoints.find(entry->reservedAt);
-    if (decode != nullptr && decode->usable(m_parts.clock.now()) && !address.empty()) {
+    if (decode != nullptr && decode->takesWork(m_parts.clock.now())) {
         sendDecode(*entry, *decode);
         schedule(*entry);
         return;
     }
-    releaseSource(*entry);
     onPrefillFailed(*entry);
 }
 
-// the decode endpoint reads the prompt itself
+// without a prefill result the decode endpoint reads the prompt itself
 void relay_requests::onPrefillFailed(relay_entry &entry)
 {
     releaseReservation(entry);
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -46,6 +46,7 @@
     std::optional<fleet_beat> lastBeat;
     time_point lastBeatAt{};
     std::optional<time_point> shutdownAt;
+    bool closedToCallers = false;
     bool stoppedSent = false;
 };
 
@@ -172,7 +173,15 @@
 
 void relay_core::state::stopWhenIdle(time_point now)
 {
-    if (!shutdownAt || stoppedSent || now - *shutdownAt < parts.settings.drainTime || requests.open() > 0) {
+    if (!shutdownAt || stoppedSent || now - *shutdownAt < parts.settings.drainTime) {
+        return;
+    }
+    if (!closedToCallers) {
+        closedToCallers = true;
+        parts.out.push_back(close_to_callers{});
+        return;
+    }
+    if (requests.open() > 0) {
         return;
     }
     stoppedSent = true;
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -110,6 +110,8 @@
         endpoint->gone = true;
     } else if (endpoint != nullptr && reply != nullptr) {
         endpoint->fullUntil = m_parts.clock.now() + fullTime;
+    } else if (endpoint != nullptr) {
+        endpoint->onUnreachable(m_parts.clock.now());
     }
     logNotRun(entry, reply);
     closeAttempt(entry);
@@ -118,6 +120,7 @@
         return;
     }
     --entry.runs;
+    recoverSource(entry);
     entry.tried.insert(name);
     const bool more = entry.dispatches < entry.route->attempts + extraDispatches;
     if (more && spendRetry(entry)) {
@@ -260,7 +263,7 @@
     const auto now = m_parts.clock.now();
     auto excluded = entry.tried;
     excluded.insert(entry.attempt->endpoint);
-    const auto usable = [&](const endpoint_entry *each) { return !excluded.contains(each->info.name) && each->fullUntil <= now; };
+    const auto usable = [&](const endpoint_entry *each) { return !excluded.contains(each->info.name) && each->takesWork(now); };
     const auto role = entry.isStream() ? endpoint_role::Decode : endpoint_role::Plain;
     const auto candidates = m_parts.endpoints.candidates(entry.service, role, now);
     return std::any_of(candidates.begin(), candidates.end(), usable);
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -15,12 +15,11 @@
 constexpr double silenceFactor = 4; // answers count as overdue after this multiple of the mean time
 constexpr duration shortestSilence = milliseconds{200}; // scheduling delays of a busy machine are shorter
 constexpr std::int32_t plainQueueFactor = 2; // work that plain endpoints hold, as a multiple of their slots; they refuse at five times
-constexpr double kvFill = 0.95; // of the engine memory; outputs that exceed their estimate use the rest
-constexpr double outputHeld = 0.6; // of the expected output, averaged over the run, with a margin for the spread of the estimates
 constexpr double failureDelayMs = 600; // of expected first event, at a failure part of 1
 constexpr double silenceDelayMs = 1200;
 constexpr double remoteDelayMs = 4; // prefers near endpoints among equally loaded ones
 constexpr double runningDelayMs = 3; // of one more running request in the batch
+constexpr std::int64_t prefillChunk = 2048; // tokens that an engine reads between two tokens of other requests
 constexpr duration modelSilence = milliseconds{1500}; // no first event for so long is overdue
 
 bool isOverdue(const endpoint_entry &entry, duration floor, time_point now)
@@ -31,7 +30,7 @@
 
 bool eligible(const endpoint_entry &entry, const placement_context &context)
 {
-    return !context.excluded.contains(entry.info.name) && entry.fullUntil <= context.now;
+    return !context.excluded.contains(entry.info.name) && entry.takesWork(context.now);
 }
 
 double plainCost(const endpoint_entry &entry, std::int32_t running, const placement_context &context)
@@ -104,12 +103,39 @@
     return best;
 }
 
+struct decode_choices {
+    scored direct; // reads the prompt itself
+    scored importing; // fetches a prefill result
+};
+
+decode_choices bestDecodes(const std::vector<endpoint_entry *> &decodes,
+                           const engine_profile &profile,
+                           const token_count &tokens,
+                           const placement_context &context)
+{
+    const auto memory = static_cast<std::int64_t>(context.speeds.memoryFill * static_cast<double>(profile.kvTokens));
+    decode_choices best;
+    for (auto *entry : decodes) {
+        const auto load = loadOf(*entry, context);
+        const bool fits = load.kvTokens == 0 || load.kvTokens + expectedMemory(tokens, context.speeds) <= memory;
+        if (!eligible(*entry, context) || load.running >= entry->info.slots || !fits) {
+            continue;
+        }
+        const double common = modelPenalty(*entry, context) + runningDelayMs * load.running;
+        // a prompt that is being read there delays the tokens of an imported request by a chunk at a time
+        const auto chunk = std::min(load.prefillTokens, prefillChunk);
+        best.importing.offer(entry, common + readingMs(chunk, context.speeds.decodePrefillTokensPerMs));
+        best.direct.offer(entry, common + readingMs(load.prefillTokens + tokens.prompt, context.speeds.decodePrefillTokensPerMs));
+    }
+    return best;
+}
+
 } // namespace
 
-std::int64_t expectedMemory(const token_count &tokens)
+std::int64_t expectedMemory(const token_count &tokens, const engine_speeds &speeds)
 {
     const auto output = std::clamp<std::int64_t>(tokens.likelyOutput.value_or(tokens.output), 0, tokens.output);
-    return tokens.prompt + static_cast<std::int64_t>(outputHeld * static_cast<double>(output));
+    return tokens.prompt + static_cast<std::int64_t>(speeds.outputHeld * static_cast<double>(output));
 }
 
 duration readingTime(std::int64_t tokens, double tokensPerMs)
@@ -135,26 +161,21 @@
     return best;
 }
 
+endpoint_entry *chooseDecode(const std::vector<endpoint_entry *> &decodes,
+                             const engine_profile &profile,
+                             const token_count &tokens,
+                             const placement_context &context)
+{
+    return bestDecodes(decodes, profile, tokens, context).importing.entry;
+}
+
 std::optional<model_placement> chooseModel(const std::vector<endpoint_entry *> &prefills,
                                            const std::vector<endpoint_entry *> &decodes,
                                            const engine_profile &profile,
                                            const token_count &tokens,
                                            const placement_context &context)
 {
-    const auto memory = static_cast<std::int64_t>(kvFill * static_cast<double>(profile.kvTokens));
-    scored direct;
-    scored importing;
-    for (auto *entry : decodes) {
-        const auto load = loadOf(*entry, context);
-        const bool fits = load.kvTokens == 0 || load.kvTokens + expectedMemory(tokens) <= memory;
-        if (!eligible(*entry, context) || load.running >= entry->info.slots || !fits) {
-            continue;
-        }
-        const double common = modelPenalty(*entry, context) + runningDelayMs * load.running;
-        // a prompt that is being read there delays the tokens of an imported request by a chunk at a time
-        importing.offer(entry, common + (load.prefillTokens > 0 ? readingMs(std::min<std::int64_t>(load.prefillTokens, 2048), context.speeds.decodePrefillTokensPerMs) : 0));
-        direct.offer(entry, common + readingMs(load.prefillTokens + tokens.prompt, context.speeds.decodePrefillTokensPerMs));
-    }
+    const auto [direct, importing] = bestDecodes(decodes, profile, tokens, context);
     if (direct.entry == nullptr) {
         return std::nullopt;
     }
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -15,6 +15,8 @@
     double prefillTokensPerMs = 55; // of a prefill endpoint
     double decodePrefillTokensPerMs = 27; // of a decode endpoint that reads a prompt itself
     duration handover = std::chrono::milliseconds{6}; // from the end of a prefill to the first event at the decode endpoint
+    double memoryFill = 0.95; // of the engine memory; outputs that exceed their estimate use the rest
+    double outputHeld = 0.6; // of the expected output, averaged over the run
     duration directLimit = std::chrono::milliseconds{350}; // a decode endpoint reads the prompt itself while its first event is expected sooner
 };
 
@@ -42,8 +44,14 @@
                                            const token_count &tokens,
                                            const placement_context &context);
 
+// the endpoint that fetches a prefill result; null when none has a free slot and memory
+endpoint_entry *chooseDecode(const std::vector<endpoint_entry *> &decodes,
+                             const engine_profile &profile,
+                             const token_count &tokens,
+                             const placement_context &context);
+
 // engine memory that a request takes on average while it runs: its prompt and a part of its output
-std::int64_t expectedMemory(const token_count &tokens);
+std::int64_t expectedMemory(const token_count &tokens, const engine_speeds &speeds);
 
 // time in which an endpoint reads tokens at a speed
 duration readingTime(std::int64_t tokens, double tokensPerMs);
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -63,6 +63,8 @@
     std::optional<attempt_number> reserved; // slot at the decode endpoint while the prompt is read
     endpoint_name reservedAt;
     std::optional<prefill_source> source; // prefill result that no decode endpoint has taken
+    std::optional<prefill_source> sentSource; // prefill result of the open decode attempt
+    time_point prefilledAt{};
     std::set<endpoint_name> tried;
     endpoint_name lastEndpoint;
     std::int32_t runs = 0; // dispatches that an endpoint may have run
@@ -129,6 +131,7 @@
     void closeAttempt(relay_entry &entry);
     void releaseReservation(relay_entry &entry);
     void releaseSource(relay_entry &entry);
+    void recoverSource(relay_entry &entry);
     void noteLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
     void noteOutcome(const relay_entry &entry, bool good);
     bool spendRetry(const relay_entry &entry);
