Place the newest on-time request first and tell refused streams to return later

Cause: under overload the oldest on-time request went first, so that each one was placed at the edge of its objective and was late. Ruled out: a larger margin alone (the edge moves with it).

--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -28,8 +28,12 @@
 {
     decay(now);
     m_good += 1;
-    const auto weighted = [&](duration mean) { return mean + std::chrono::duration_cast<duration>((time - mean) * newTimeWeight); };
-    m_meanTime = m_meanTime == duration{} ? time : weighted(m_meanTime);
+    m_meanTime = weighted(m_meanTime, time);
+}
+
+duration endpoint_experience::weighted(duration mean, duration sample)
+{
+    return mean == duration{} ? sample : mean + std::chrono::duration_cast<duration>((sample - mean) * newTimeWeight);
 }
 
 void endpoint_experience::onFailure(time_point now)
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -26,14 +26,19 @@
     double failurePart(time_point now) const;
     // mean time to the answer, or to the first event
     duration meanTime() const { return m_meanTime; }
+    // mean time for which a request holds its slot
+    duration meanHold() const { return m_meanHold; }
+    void onHold(duration time) { m_meanHold = weighted(m_meanHold, time); }
 
 private:
     void decay(time_point now);
+    static duration weighted(duration mean, duration sample);
 
     double m_good = 0;
     double m_bad = 0;
     time_point m_decayedAt{};
     duration m_meanTime{};
+    duration m_meanHold{};
 };
 
 // open work of this VM
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -12,9 +12,9 @@
 constexpr duration configurationRetry = milliseconds{500}; // a VM that has just started learns its configuration in this time
 constexpr duration noEndpointRetry = milliseconds{300}; // endpoints announce themselves about once a second
 constexpr duration shortestOverloadRetry = milliseconds{200};
-constexpr duration streamStart = milliseconds{120}; // from the end of a prefill to the first event at a busy endpoint
 constexpr std::int64_t abandonFactor = 4; // callers leave a stream without an event after this multiple of its objective
 constexpr duration shortestAbandon = milliseconds{2000};
+constexpr std::int64_t overloadReturn = 3; // times the objective: about the time in which a full engine has finished its requests
 constexpr double longestWaitPart = 0.6; // of the time that a request has; a caller that is refused later cannot come back in time
 
 std::string millisText(duration value)
@@ -208,7 +208,7 @@
     duration meanTime = milliseconds{1};
     for (const auto *each : candidates) {
         slots += each->info.slots;
-        meanTime = std::max(meanTime, each->experience.meanTime());
+        meanTime = std::max(meanTime, each->experience.meanHold());
     }
     const auto ahead = static_cast<std::int64_t>((queue.size() + 1) * m_parts.fleet.heard(now));
     const auto expected = meanTime * ahead / slots;
@@ -238,37 +238,38 @@
     }
 }
 
-// requests that can still meet their objective go first, so that an overload makes few of them late instead of all
+// requests that can still meet their objective go first, the newest before the others: an overload then makes some of them late, and
+// not each of them by a little. late ones follow in the order of their arrival.
 void relay_requests::placeWaiting()
 {
     for (auto &[service, queue] : m_waiting) {
-        placeWaiting(queue, false);
-        placeWaiting(queue, true);
-    }
-}
-
-void relay_requests::placeWaiting(std::deque<caller_id> &queue, bool late)
-{
-    for (auto at = queue.begin(); at != queue.end();) {
-        auto &entry = *m_entries.at(*at);
-        if (isLate(entry) != late) {
-            ++at;
+        if (queue.empty()) {
             continue;
         }
+        std::vector<caller_id> inTime;
+        std::vector<caller_id> late;
+        for (const auto caller : queue) {
+            (isLate(*m_entries.at(caller)) ? late : inTime).push_back(caller);
+        }
+        std::reverse(inTime.begin(), inTime.end());
+        inTime.insert(inTime.end(), late.begin(), late.end());
         // the first one keeps its turn, so that large requests do not starve
-        if (!place(entry)) {
-            return;
+        for (const auto caller : inTime) {
+            auto &entry = *m_entries.at(caller);
+            if (!place(entry)) {
+                break;
+            }
+            m_parts.metrics.wait.add(m_parts.clock.now() - entry.arrivedAt);
+            std::erase(queue, caller);
+            schedule(entry);
         }
-        m_parts.metrics.wait.add(m_parts.clock.now() - entry.arrivedAt);
-        at = queue.erase(at);
-        schedule(entry);
     }
 }
 
 bool relay_requests::isLate(const relay_entry &entry) const
 {
     const auto &tokens = entry.request.tokens;
-    const auto needed = tokens ? readingTime(tokens->prompt, m_parts.speeds.prefillTokensPerMs) + streamStart : duration{};
+    const auto needed = tokens ? m_startTime + readingTime(tokens->prompt, m_parts.speeds.prefillTokensPerMs) : duration{};
     return m_parts.clock.now() + needed > entry.arrivedAt + entry.route->objective;
 }
 
@@ -304,7 +305,11 @@
     }
     std::optional<duration> retryAfter;
     if (result == outcome::NotRun) {
-        const auto base = reason == failure::NoEndpoint ? noEndpointRetry : shortestOverloadRetry;
+        auto base = reason == failure::NoEndpoint ? noEndpointRetry : shortestOverloadRetry;
+        // the objective is lost anyway; a later return meets a shorter queue
+        if (entry.isStream() && reason == failure::Overloaded) {
+            base = std::max(base, std::min<duration>(entry.route->objective * overloadReturn, (entry.deadline - m_parts.clock.now()) / 4));
+        }
         retryAfter = spread(base, entry.request.payload->id);
         if (entry.account != nullptr) {
             m_parts.limiter.refund(entry.account->name, entry.units);
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -235,6 +235,9 @@
     if (entry->firstEventAt) {
         entry->longestGap = std::max(entry->longestGap, now - entry->lastPartAt);
     }
+    if (!entry->firstEventAt && entry->request.tokens && entry->placedAt) {
+        noteStart(now - *entry->placedAt - readingTime(entry->request.tokens->prompt, m_parts.speeds.prefillTokensPerMs));
+    }
     entry->firstEventAt = entry->firstEventAt.value_or(now);
     entry->lastPartAt = now;
     if (entry->attempt->moveOnAt) {
@@ -244,6 +247,12 @@
     forward(*entry, part.bytes);
 }
 
+void relay_requests::noteStart(duration time)
+{
+    constexpr std::int64_t oldWeight = 7; // of eight; follows a change of load within some ten requests
+    m_startTime = (m_startTime * oldWeight + std::max(time, duration{})) / (oldWeight + 1);
+}
+
 // a stream that may go on elsewhere passes on whole events only
 void relay_requests::forward(relay_entry &entry, std::string_view bytes)
 {
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -65,8 +65,17 @@
     passOn(*entry, std::move(reply));
 }
 
+void relay_requests::noteHold(const relay_entry &entry)
+{
+    auto *const endpoint = m_parts.endpoints.find(entry.lastEndpoint);
+    if (endpoint != nullptr && entry.placedAt) {
+        endpoint->experience.onHold(m_parts.clock.now() - *entry.placedAt);
+    }
+}
+
 void relay_requests::passOn(relay_entry &entry, relay_reply reply)
 {
+    noteHold(entry);
     const int status = reply.status;
     m_parts.metrics.plainAnswer.add(m_parts.clock.now() - entry.arrivedAt);
     m_parts.out.push_back(answer_plain{entry.request.caller, {}, status, std::move(reply.headers), std::move(reply.body)});
@@ -85,6 +94,7 @@
             m_parts.out.push_back(answer_stream_bytes{entry->request.caller, rest});
         }
         m_parts.out.push_back(answer_stream_end{entry->request.caller});
+        noteHold(*entry);
         finish(*entry, "streamed", 200);
         return;
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -117,7 +117,6 @@
     bool placePlain(relay_entry &entry);
     bool placeModel(relay_entry &entry);
     void wait(relay_entry &entry);
-    void placeWaiting(std::deque<caller_id> &queue, bool late);
     bool isLate(const relay_entry &entry) const;
     time_point patienceEnd(const relay_entry &entry) const;
     void leaveQueue(const relay_entry &entry);
@@ -133,6 +132,8 @@
     void releaseSource(relay_entry &entry);
     void recoverSource(relay_entry &entry);
     void noteLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
+    void noteHold(const relay_entry &entry);
+    void noteStart(duration time);
     void noteOutcome(const relay_entry &entry, bool good);
     bool spendRetry(const relay_entry &entry);
 
@@ -161,6 +162,7 @@
     std::map<service_name, retry_budget> m_budgets;
     std::set<std::pair<time_point, caller_id>> m_wakes;
     std::unordered_map<caller_id, time_point> m_wakeOf;
+    duration m_startTime = std::chrono::milliseconds{120}; // mean time from a placement to the first event, without the reading of the prompt
     attempt_number m_lastAttempt = 0;
 };
 
