--- a/shell/beat_codec.cpp
+++ b/shell/beat_codec.cpp
@@ -43,10 +43,8 @@
     beat.directoryPosition = in.at(6).get<std::uint64_t>();
     beat.leaving = in.at(7).get<bool>();
     for (const auto &load : in.at(8)) {
-        beat.loads.push_back({endpoint_name{load.at(0).get<std::string>()},
-                              load.at(1).get<std::int32_t>(),
-                              load.at(2).get<std::int64_t>(),
-                              load.at(3).get<std::int64_t>()});
+        beat.loads.push_back(
+            {endpoint_name{load.at(0).get<std::string>()}, load.at(1).get<std::int32_t>(), load.at(2).get<std::int64_t>(), load.at(3).get<std::int64_t>()});
     }
     for (const auto &used : in.at(9)) {
         beat.usage.push_back({account_name{used.at(0).get<std::string>()}, used.at(1).get<double>()});
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -16,8 +16,8 @@
 #include "caller_session.hpp"
 #include "endpoint_client.hpp"
 #include "logging.hpp"
-#include "settings.hpp"
 #include "plantainpoint/relay.hpp"
+#include "settings.hpp"
 #include "shell_metrics.hpp"
 
 namespace plantainpoint {
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -26,13 +26,26 @@
 };
 
 template<class T>
-concept endpoint_dialect = requires(const T dialect, const relay_dispatch &dispatch, const http_fields &fields, const std::string &text) {
-    { dialect.encode(dispatch) } -> std::same_as<http_request>;
-    { dialect.belongs(fields, text) } -> std::same_as<bool>; // the response echoes the request's id, or no id at all
-    { dialect.traits(0, fields, text) } -> std::same_as<reply_traits>;
-    { dialect.callerHeaders(fields) } -> std::same_as<std::vector<header>>;
-    { dialect.prefillHandle(text) } -> std::same_as<std::optional<std::string>>;
-    { dialect.encodeRelease(text) } -> std::same_as<http_request>;
+concept endpoint_dialect = requires(const T dialect, const relay_dispatch &dispatch, const http_fields &fields, const std::string &text)
+{
+    {
+        dialect.encode(dispatch)
+        } -> std::same_as<http_request>;
+    {
+        dialect.belongs(fields, text)
+        } -> std::same_as<bool>; // the response echoes the request's id, or no id at all
+    {
+        dialect.traits(0, fields, text)
+        } -> std::same_as<reply_traits>;
+    {
+        dialect.callerHeaders(fields)
+        } -> std::same_as<std::vector<header>>;
+    {
+        dialect.prefillHandle(text)
+        } -> std::same_as<std::optional<std::string>>;
+    {
+        dialect.encodeRelease(text)
+        } -> std::same_as<http_request>;
 };
 
 template<endpoint_dialect Dialect>
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -27,12 +27,19 @@
 
 // what a relay VM needs of the system that it runs on
 template<class T>
-concept relay_platform = endpoint_dialect<typename T::endpoints> && requires(caller_request &request, typename T::directory &directory, std::string &state) {
-    { T::decodeRequest(request) } -> std::same_as<relay_request>;
-    { T::readyPath() } -> std::convertible_to<std::string>;
+concept relay_platform = endpoint_dialect<typename T::endpoints> && requires(caller_request &request, typename T::directory &directory, std::string &state)
+{
+    {
+        T::decodeRequest(request)
+        } -> std::same_as<relay_request>;
+    {
+        T::readyPath()
+        } -> std::convertible_to<std::string>;
     directory.start();
     directory.leave();
-    { directory.exportState() } -> std::same_as<std::string>;
+    {
+        directory.exportState()
+        } -> std::same_as<std::string>;
     directory.importState(state);
 };
 
@@ -54,13 +61,11 @@
     static constexpr auto fetchTimeout = std::chrono::milliseconds{800};
     static constexpr auto flushTime = std::chrono::seconds{1}; // for answers that are still being written when the core has stopped
     static constexpr auto flushInterval = std::chrono::milliseconds{5};
-    static constexpr auto storeOptions = http_client_options{.connectTimeout = std::chrono::milliseconds{300},
-                                                             .unconfirmedTimeout = std::chrono::milliseconds{900},
-                                                             .idlePerAddress = 2};
+    static constexpr auto storeOptions =
+        http_client_options{.connectTimeout = std::chrono::milliseconds{300}, .unconfirmedTimeout = std::chrono::milliseconds{900}, .idlePerAddress = 2};
     // an endpoint that does not take a connection in this time would not answer within the objective either
-    static constexpr auto endpointOptions = http_client_options{.connectTimeout = std::chrono::milliseconds{250},
-                                                                .unconfirmedTimeout = std::chrono::milliseconds{900},
-                                                                .idlePerAddress = 6};
+    static constexpr auto endpointOptions =
+        http_client_options{.connectTimeout = std::chrono::milliseconds{250}, .unconfirmedTimeout = std::chrono::milliseconds{900}, .idlePerAddress = 6};
 
     void deliver(relay_input message);
     void onCaller(input message);
@@ -118,9 +123,16 @@
     , m_http(io, endpointOptions)
     , m_directoryHttp(io, storeOptions)
     , m_endpoints(m_http, typename Platform::endpoints{}, [this](relay_input message) { deliver(std::move(message)); })
-    , m_directory(io, m_directoryHttp, m_options, [this](relay_input message) { deliver(std::move(message)); }, m_logger)
-    , m_beats(io, [this](fleet_beat beat) { deliver(std::move(beat)); }, m_logger)
-    , m_server(io, {server_limits{.connectionsPerAccount = 1'000'000}, {}, request_form::Opaque}, [this](input message) { onCaller(std::move(message)); }, m_logger, m_metrics)
+    , m_directory(
+          io, m_directoryHttp, m_options, [this](relay_input message) { deliver(std::move(message)); }, m_logger)
+    , m_beats(
+          io, [this](fleet_beat beat) { deliver(std::move(beat)); }, m_logger)
+    , m_server(
+          io,
+          {server_limits{.connectionsPerAccount = 1'000'000}, {}, request_form::Opaque},
+          [this](input message) { onCaller(std::move(message)); },
+          m_logger,
+          m_metrics)
     , m_ready(io, adminViews())
     , m_admin(io, adminViews())
     , m_tickTimer(io)
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -70,9 +70,9 @@
 
 std::size_t fleet_view::heard(time_point now) const
 {
-    return 1
-        + static_cast<std::size_t>(
-               std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &each) { return isHeard(each.second, now) && !each.second.leaving; }));
+    return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &each) {
+               return isHeard(each.second, now) && !each.second.leaving;
+           }));
 }
 
 // a VM that said it leaves and then fell silent has ended
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -38,10 +38,10 @@
     const auto now = m_parts.clock.now();
     const auto &tokens = entry.request.tokens;
     const auto number = ++m_lastAttempt;
-    const auto expected = kind == dispatch_kind::Plain ? endpoint.experience.meanTime()
-                                                       : readingTime(prefillTokens,
-                                                                     kind == dispatch_kind::Prefill ? m_parts.speeds.prefillTokensPerMs
-                                                                                                    : m_parts.speeds.decodePrefillTokensPerMs);
+    const auto expected =
+        kind == dispatch_kind::Plain
+            ? endpoint.experience.meanTime()
+            : readingTime(prefillTokens, kind == dispatch_kind::Prefill ? m_parts.speeds.prefillTokensPerMs : m_parts.speeds.decodePrefillTokensPerMs);
     endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? expectedMemory(*tokens, m_parts.speeds) : 0, false});
     if (kind == dispatch_kind::Prefill) {
         ++m_parts.metrics.prefills;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -75,8 +75,10 @@
         const bool withdrawn = entry->withdrawnAt.has_value();
         parts.say(severity::Info,
                   part::Watch,
-                  "endpoint=" + name.value + " service=" + entry->info.service.value + " address=" + entry->info.address
-                      + " state=" + (withdrawn ? "withdrawn" : entry->info.condition == endpoint_condition::Ready ? "ready" : "leaving")
+                  "endpoint=" + name.value + " service=" + entry->info.service.value + " address=" + entry->info.address + " state="
+                      + (withdrawn                                            ? "withdrawn"
+                         : entry->info.condition == endpoint_condition::Ready ? "ready"
+                                                                              : "leaving")
                       + " directory=" + std::to_string(read.position));
     }
     if (!changed.empty()) {
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -166,7 +166,7 @@
         const auto own = endpoint->ownLoad();
         const auto others = m_parts.fleet.loadAt(attempt.endpoint, m_parts.clock.now());
         text += " own=" + std::to_string(own.running) + '/' + std::to_string(own.kvTokens) + " others=" + std::to_string(others.running) + '/'
-            + std::to_string(others.kvTokens);
+                + std::to_string(others.kvTokens);
     }
     text += " after_ms=" + millisText(m_parts.clock.now() - attempt.sentAt);
     m_parts.say(severity::Info, part::Place, std::move(text));
@@ -310,10 +310,11 @@
         ++found->second;
     }
     std::string text = "request=" + entry.request.payload->id + " result=" + std::string(result) + " status=" + std::to_string(status)
-        + " stage=" + std::string(nameOf(entry.machine.stage())) + " route=" + entry.route->name + " service=" + entry.service.value;
+                       + " stage=" + std::string(nameOf(entry.machine.stage())) + " route=" + entry.route->name + " service=" + entry.service.value;
     text += " account=" + (entry.account != nullptr ? entry.account->name.value : std::string("-"));
     text += " endpoint=" + (entry.lastEndpoint.empty() ? std::string("-") : entry.lastEndpoint.value);
-    text += " dispatches=" + std::to_string(entry.dispatches) + (entry.prefillTried ? "+prefill" : "") + " tokens=" + tokensText(entry) + " total_ms=" + millisText(m_parts.clock.now() - entry.arrivedAt);
+    text += " dispatches=" + std::to_string(entry.dispatches) + (entry.prefillTried ? "+prefill" : "") + " tokens=" + tokensText(entry)
+            + " total_ms=" + millisText(m_parts.clock.now() - entry.arrivedAt);
     if (entry.firstEventAt) {
         text += " first_ms=" + millisText(*entry.firstEventAt - entry.arrivedAt) + " gap_ms=" + millisText(entry.longestGap);
     }
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -108,10 +108,8 @@
     scored importing; // fetches a prefill result
 };
 
-decode_choices bestDecodes(const std::vector<endpoint_entry *> &decodes,
-                           const engine_profile &profile,
-                           const token_count &tokens,
-                           const placement_context &context)
+decode_choices
+bestDecodes(const std::vector<endpoint_entry *> &decodes, const engine_profile &profile, const token_count &tokens, const placement_context &context)
 {
     const auto memory = static_cast<std::int64_t>(context.speeds.memoryFill * static_cast<double>(profile.kvTokens));
     decode_choices best;
@@ -161,10 +159,8 @@
     return best;
 }
 
-endpoint_entry *chooseDecode(const std::vector<endpoint_entry *> &decodes,
-                             const engine_profile &profile,
-                             const token_count &tokens,
-                             const placement_context &context)
+endpoint_entry *
+chooseDecode(const std::vector<endpoint_entry *> &decodes, const engine_profile &profile, const token_count &tokens, const placement_context &context)
 {
     return bestDecodes(decodes, profile, tokens, context).importing.entry;
 }
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -45,10 +45,8 @@
                                            const placement_context &context);
 
 // the endpoint that fetches a prefill result; null when none has a free slot and memory
-endpoint_entry *chooseDecode(const std::vector<endpoint_entry *> &decodes,
-                             const engine_profile &profile,
-                             const token_count &tokens,
-                             const placement_context &context);
+endpoint_entry *
+chooseDecode(const std::vector<endpoint_entry *> &decodes, const engine_profile &profile, const token_count &tokens, const placement_context &context);
 
 // engine memory that a request takes on average while it runs: its prompt and a part of its output
 std::int64_t expectedMemory(const token_count &tokens, const engine_speeds &speeds);
--- /dev/null
+++ b/test/platform_codec_test.cpp
@@ -0,0 +1,243 @@
+// bytes of the users' platform, written here, through the adapter
+#include <boost/test/unit_test.hpp>
+
+#include "http_dialect.hpp"
+#include "store_codec.hpp"
+
+using namespace plantainpoint;
+using namespace plantainpoint::platform;
+
+namespace {
+
+const std::string configuration = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","path_prefix":"/s/","kind":"streaming","timeout_ms":14000,"slo_ms":900,"priority":1,"service":"llm","attempts":2,
+  "public":false,"sticky":true,"resumable":true,"gap_slo_ms":300},
+ {"name":"r2","host":"a.example","path_prefix":"/u/","kind":"unsafe","timeout_ms":1000,"slo_ms":100,"priority":2,
+  "split":[{"service":"desk","weight":90},{"service":"desk2","weight":10}],"attempts":1,"public":true}],
+ "services":[{"name":"llm","health_path":"/healthz","max_conns":150,"engine":{"slots":12,"kv_tokens":71518,"handle_ttl_s":0.5}},{"name":"desk"}],
+ "limits":{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,"rate_per_s":100.5,"burst":50}]})";
+
+std::string entry(const std::string &changed = "", const std::string &to = "")
+{
+    std::string text = R"({"service":"llm","addr":"10.0.0.9:8080","zone":"z-a","version":"v1","slots":12,"state":"ready","cold_left_ms":0,)"
+                       R"("stage":"decode","models":[{"name":"m"}],"seq":4,"born":1767225600000})";
+    const auto at = text.find(changed);
+    return changed.empty() ? text : text.replace(at, changed.size(), to);
+}
+
+caller_request callerRequest()
+{
+    caller_request request;
+    request.method = "POST";
+    request.path = "/s/1?a=%20b";
+    request.headers = {{"Host", "a.example"},
+                       {"X-Request-Id", "id-1"},
+                       {"X-Deadline-Ms", "1500"},
+                       {"X-Token-Count", "1460,80"},
+                       {"X-Length-Hint", "40"},
+                       {"X-Tenant", "forged"},
+                       {"x-kv-source", "10.0.0.1:1/x"},
+                       {"X-Stage", "prefill"},
+                       {"X-Kv-Hold", "h"},
+                       {"X-Request-Priority", "0"},
+                       {"X-Expect-Instance", "i-other"},
+                       {"X-Other", "kept"}};
+    request.body = "body";
+    return request;
+}
+
+relay_dispatch dispatchOf(const relay_request &request)
+{
+    return {.kind = dispatch_kind::Decode,
+            .endpoint = {"i-1"},
+            .address = "10.0.0.9:8080",
+            .payload = request.payload,
+            .account = {"t1"},
+            .priority = 3,
+            .timeLeft = std::chrono::milliseconds{1200}};
+}
+
+http_fields fieldsOf(std::initializer_list<std::pair<std::string, std::string>> values)
+{
+    http_fields fields;
+    for (const auto &[name, value] : values) {
+        fields.insert(name, value);
+    }
+    return fields;
+}
+
+std::string valueOf(const http_request &request, const std::string &name)
+{
+    const auto value = request[name];
+    return {value.data(), value.size()};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_store)
+
+BOOST_AUTO_TEST_CASE(configurationIsDecodedOnce)
+{
+    const auto config = decodeConfiguration(configuration);
+    BOOST_REQUIRE(config.ok());
+    BOOST_TEST(config->version == 7);
+    BOOST_REQUIRE_EQUAL(config->routes.size(), 2);
+    BOOST_TEST((config->routes[0].policy == repeat_policy::Stream));
+    BOOST_TEST(config->routes[0].resumable);
+    BOOST_TEST(config->routes[0].attempts == 2);
+    BOOST_TEST((config->routes[1].policy == repeat_policy::Once));
+    BOOST_TEST(config->routes[1].open);
+    BOOST_TEST(config->routes[1].services.size() == 2);
+    BOOST_REQUIRE(config->services[0].engine.has_value());
+    BOOST_TEST(config->services[0].engine->kvTokens == 71518);
+    BOOST_TEST(!config->services[1].engine.has_value());
+    BOOST_TEST((config->accounts[0].unit == limit_unit::Tokens));
+    BOOST_TEST(config->accounts[0].rate == 100.5);
+    BOOST_TEST((config->accounts[0].keys[1] == digestOf("k2")));
+    BOOST_TEST((config->bounds.idleTime == std::chrono::milliseconds{15000}));
+}
+
+// guards against an unreadable configuration that ends the process or replaces the last good one
+BOOST_AUTO_TEST_CASE(unreadableConfigurationIsATypedError)
+{
+    for (const std::string text : {"", "[]", "{}", R"({"version":"x","routes":[]})", R"({"version":1,"routes":[{"host":3}],"services":[]})", "\xff\xfe"}) {
+        const auto config = decodeConfiguration(text);
+        BOOST_TEST(!config.ok());
+        BOOST_TEST((failureOf(config.status()) == failure::InvalidConfiguration));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(workersAreDecoded)
+{
+    const auto endpoint = decodeEndpoint("i-1", entry());
+    BOOST_REQUIRE(endpoint.has_value());
+    BOOST_TEST((endpoint->role == endpoint_role::Decode));
+    BOOST_TEST(endpoint->startedAt == 1767225600000);
+    BOOST_TEST(endpoint->slots == 12);
+    BOOST_TEST((decodeEndpoint("i-1", entry("\"ready\"", "\"draining\""))->condition == endpoint_condition::Leaving));
+    BOOST_TEST((decodeEndpoint("i-1", entry("\"stage\":\"decode\",", ""))->role == endpoint_role::Plain));
+}
+
+// guards against entries of other writers that name a worker
+BOOST_AUTO_TEST_CASE(entriesOfOtherWritersNameNoWorker)
+{
+    BOOST_TEST(!decodeEndpoint("i-1", entry("\"ready\"", "\"up\"")));
+    BOOST_TEST(!decodeEndpoint("i-1", entry("\"addr\":\"10.0.0.9:8080\",", "")));
+    BOOST_TEST(!decodeEndpoint("i-1", entry("10.0.0.9:8080", "worker-9")));
+    BOOST_TEST(!decodeEndpoint("i-1", entry("\"slots\":12", "\"slots\":\"12\"")));
+    BOOST_TEST(!decodeEndpoint("i-1", entry("1767225600000", "\"soon\"")));
+    BOOST_TEST(!decodeEndpoint("i-1", entry("1767225600000", "1.5")));
+    BOOST_TEST(!decodeEndpoint("i-1", "\x01\x02"));
+    BOOST_TEST(!decodeEndpoint("i-1", "7"));
+}
+
+// guards against pages whose framing is broken, and records that are no keyed records
+BOOST_AUTO_TEST_CASE(logPagesAreChecked)
+{
+    const std::string offsets("\0\0\0\0\0\0\0\x05\0\0\0\0\0\0\0\x02", 16);
+    const auto page = decodeLogPage(offsets + encodeKeyedRecord("i-1", "value") + encodeKeyedRecord("i-2", ""));
+    BOOST_REQUIRE(page.ok());
+    BOOST_TEST(page->end == 5);
+    BOOST_TEST(page->first == 2);
+    BOOST_REQUIRE_EQUAL(page->records.size(), 2);
+    BOOST_TEST(page->records[0].key == "i-1");
+    BOOST_TEST(*page->records[0].value == "value");
+    BOOST_TEST(!page->records[1].value.has_value());
+    BOOST_TEST(!decodeLogPage("short").ok());
+    BOOST_TEST(!decodeLogPage(offsets
+                              + std::string("\0\0\0\x09"
+                                            "abc",
+                                            7))
+                    .ok());
+    const auto strange = decodeLogPage(offsets + std::string("\0\0\0\x02\x09x", 6));
+    BOOST_REQUIRE(strange.ok());
+    BOOST_TEST(strange->records.size() == 1);
+    BOOST_TEST(strange->records[0].key.empty());
+}
+
+BOOST_AUTO_TEST_CASE(newestPagesAreChecked)
+{
+    const auto page = decodeNewestPage(R"({"items":[{"key":"config","value":"eyJhIjoxfQ==","offset":4}],"has_more":true,"end":6})");
+    BOOST_REQUIRE(page.ok());
+    BOOST_TEST(page->more);
+    BOOST_TEST(*page->records[0].value == R"({"a":1})");
+    BOOST_TEST(!decodeNewestPage("").ok());
+    BOOST_TEST(!decodeNewestPage(R"({"items":[{}],"end":6})").ok());
+}
+
+BOOST_AUTO_TEST_CASE(membersRoundTrip)
+{
+    BOOST_TEST(decodeMember(encodeMember("10.0.0.1:7500")).value_or("") == "10.0.0.1:7500");
+    BOOST_TEST(!decodeMember("{}"));
+    BOOST_TEST(!decodeMember(R"({"address":"nowhere"})"));
+    BOOST_TEST(!decodeMember("\xff"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(platform_headers)
+
+// guards against headers that only the router may set and that a caller forges
+BOOST_AUTO_TEST_CASE(reservedHeadersOfACallerNeverPass)
+{
+    auto caller = callerRequest();
+    const auto request = decodeRequest(caller);
+    BOOST_TEST((request.patience == std::chrono::milliseconds{1500}));
+    BOOST_REQUIRE(request.tokens.has_value());
+    BOOST_TEST(request.tokens->prompt == 1460);
+    BOOST_TEST(request.tokens->output == 80);
+    BOOST_TEST(request.tokens->likelyOutput.value_or(0) == 40);
+    const auto sent = worker_dialect{}.encode(dispatchOf(request));
+    BOOST_TEST(valueOf(sent, "X-Tenant") == "t1");
+    BOOST_TEST(valueOf(sent, "X-Expect-Instance") == "i-1");
+    BOOST_TEST(valueOf(sent, "X-Request-Priority") == "3");
+    BOOST_TEST(valueOf(sent, "X-Deadline-Ms") == "1200");
+    BOOST_TEST(valueOf(sent, "Host") == "a.example");
+    BOOST_TEST(valueOf(sent, "X-Other") == "kept");
+    BOOST_TEST(valueOf(sent, "X-Token-Count") == "1460,80");
+    BOOST_TEST(valueOf(sent, "X-Request-Id") == "id-1");
+    for (const auto *const name : {"X-Kv-Source", "X-Stage", "X-Kv-Hold"}) {
+        BOOST_TEST(valueOf(sent, name).empty());
+    }
+    BOOST_TEST(sent.target() == "/s/1?a=%20b");
+    BOOST_TEST(sent.body() == "body");
+}
+
+BOOST_AUTO_TEST_CASE(stagesAndSources)
+{
+    auto caller = callerRequest();
+    auto dispatch = dispatchOf(decodeRequest(caller));
+    dispatch.kind = dispatch_kind::Prefill;
+    BOOST_TEST(valueOf(worker_dialect{}.encode(dispatch), "X-Stage") == "prefill");
+    dispatch.kind = dispatch_kind::Decode;
+    dispatch.source = prefill_source{"10.0.0.2:8080", "h1"};
+    dispatch.resumeAfter = 12;
+    const auto sent = worker_dialect{}.encode(dispatch);
+    BOOST_TEST(valueOf(sent, "X-Kv-Source") == "10.0.0.2:8080/h1");
+    BOOST_TEST(valueOf(sent, "Last-Event-Id") == "12");
+    BOOST_TEST(worker_dialect{}.prefillHandle(R"({"kv_handle":"h1","tokens":3,"version":1})").value_or("") == "h1");
+    BOOST_TEST(!worker_dialect{}.prefillHandle("x"));
+    BOOST_TEST(!worker_dialect{}.prefillHandle(R"({"kv_handle":3})"));
+}
+
+// guards against an answer of another request, an encoded body, or an unstamped success being taken for the worker's
+BOOST_AUTO_TEST_CASE(answersAreJudgedByTheirHeaders)
+{
+    const worker_dialect dialect;
+    BOOST_TEST(dialect.traits(200, fieldsOf({{"X-Request-Id", "id-1"}, {"X-Reply-Stamp", "s"}}), "id-1").genuine);
+    BOOST_TEST(!dialect.traits(200, fieldsOf({{"X-Request-Id", "id-2"}, {"X-Reply-Stamp", "s"}}), "id-1").genuine);
+    BOOST_TEST(!dialect.traits(200, fieldsOf({{"X-Request-Id", "id-1"}}), "id-1").genuine);
+    BOOST_TEST(!dialect.traits(200, fieldsOf({{"X-Request-Id", "id-1"}, {"X-Reply-Stamp", "s"}, {"Content-Encoding", "gzip"}}), "id-1").genuine);
+    BOOST_TEST(dialect.traits(503, fieldsOf({{"X-Not-Run", "1"}}), "id-1").notRun);
+    BOOST_TEST(dialect.traits(421, fieldsOf({}), "id-1").wrongEndpoint);
+    const auto load = dialect.traits(200, fieldsOf({{"X-Load-Report", "3,1,8"}}), "id-1").load;
+    BOOST_REQUIRE(load.has_value());
+    BOOST_TEST(load->running == 3);
+    BOOST_TEST(load->waiting == 1);
+    BOOST_TEST(!dialect.traits(200, fieldsOf({{"X-Load-Report", "x"}}), "id-1").load.has_value());
+    BOOST_TEST(dialect.belongs(fieldsOf({}), "id-1"));
+    BOOST_TEST(!dialect.belongs(fieldsOf({{"X-Request-Id", "id-2"}}), "id-1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
