--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -149,6 +149,7 @@
     std::uint64_t directoryPosition = 0;
     bool leaving = false;
     std::vector<endpoint_load> loads;
+    std::vector<endpoint_name> switching; // were ordered to change their role
     std::vector<account_usage> usage;
 };
 
@@ -161,6 +162,23 @@
     std::vector<member> members;
 };
 
+// end of the log of orders; empty: it could not be read
+struct order_log_read {
+    std::optional<std::uint64_t> end;
+    std::optional<vm_name> lastHolder; // that wrote the last record
+};
+
+// empty: another VM was first, or the append is in doubt
+struct order_appended {
+    std::optional<std::uint64_t> fencing;
+};
+
+struct role_order_answered {
+    endpoint_name endpoint;
+    int status = 0; // 0: no answer, the order may be carried out later
+    bool refused = false; // it will not be carried out
+};
+
 using relay_input = std::variant<relay_request,
                                  caller_gone,
                                  relay_reply,
@@ -173,6 +191,9 @@
                                  directory_reachable,
                                  fleet_beat,
                                  members_read,
+                                 order_log_read,
+                                 order_appended,
+                                 role_order_answered,
                                  shutdown_requested>;
 
 // ---- outputs
@@ -248,6 +269,25 @@
     std::string address;
 };
 
+struct read_order_log {
+};
+
+// takes the next place in the log of orders if the log still ends at an offset
+struct append_order {
+    std::uint64_t end = 0;
+    vm_name holder;
+    endpoint_name endpoint;
+    endpoint_role role = endpoint_role::Decode;
+};
+
+struct send_role_order {
+    endpoint_name endpoint;
+    std::string address;
+    vm_name holder;
+    endpoint_role role = endpoint_role::Decode;
+    std::uint64_t fencing = 0;
+};
+
 // no request is taken any more: idle connections end and no new one is accepted
 struct close_to_callers {
 };
@@ -263,6 +303,9 @@
                                    release_prefill,
                                    send_beat,
                                    fetch_fleet_state,
+                                   read_order_log,
+                                   append_order,
+                                   send_role_order,
                                    close_to_callers,
                                    log_line,
                                    stopped>;
--- a/include/plantainpoint/relay_core.hpp
+++ b/include/plantainpoint/relay_core.hpp
@@ -25,6 +25,8 @@
     double memoryFill = 0.95; // of the engine memory that placement uses
     double outputHeld = 0.6; // of the expected output that counts as held while a request runs
     duration directLimit = std::chrono::milliseconds{350}; // expected first event up to which a decode endpoint reads the prompt itself
+    double prefillShare = 0; // of the endpoints of a model service; 0: roles are left as they are
+    duration orderLease = std::chrono::seconds{3}; // two VMs that order an endpoint within it contradict each other
     // requests are still taken for so long after a shutdown request: until the balancer has noticed, and so early that a stream can end
     duration drainTime = std::chrono::milliseconds{2500};
 };
--- a/shell/beat_codec.cpp
+++ b/shell/beat_codec.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr int format = 1; // of the message; VMs of another one are not understood
+constexpr int format = 2; // of the message; VMs of another one are not understood
 
 json loadsOf(const fleet_beat &beat)
 {
@@ -24,6 +24,15 @@
     return out;
 }
 
+json switchingOf(const fleet_beat &beat)
+{
+    json out = json::array();
+    for (const auto &name : beat.switching) {
+        out.push_back(name.value);
+    }
+    return out;
+}
+
 json usageOf(const fleet_beat &beat)
 {
     json out = json::array();
@@ -46,7 +55,10 @@
         beat.loads.push_back(
             {endpoint_name{load.at(0).get<std::string>()}, load.at(1).get<std::int32_t>(), load.at(2).get<std::int64_t>(), load.at(3).get<std::int64_t>()});
     }
-    for (const auto &used : in.at(9)) {
+    for (const auto &name : in.at(9)) {
+        beat.switching.push_back({name.get<std::string>()});
+    }
+    for (const auto &used : in.at(10)) {
         beat.usage.push_back({account_name{used.at(0).get<std::string>()}, used.at(1).get<double>()});
     }
     return beat;
@@ -65,6 +77,7 @@
                    beat.directoryPosition,
                    beat.leaving,
                    loadsOf(beat),
+                   switchingOf(beat),
                    usageOf(beat)};
     std::string bytes;
     json::to_cbor(out, bytes);
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -25,28 +25,19 @@
     std::optional<reported_load> load;
 };
 
+// clang-format off
 template<class T>
-concept endpoint_dialect = requires(const T dialect, const relay_dispatch &dispatch, const http_fields &fields, const std::string &text)
-{
-    {
-        dialect.encode(dispatch)
-        } -> std::same_as<http_request>;
-    {
-        dialect.belongs(fields, text)
-        } -> std::same_as<bool>; // the response echoes the request's id, or no id at all
-    {
-        dialect.traits(0, fields, text)
-        } -> std::same_as<reply_traits>;
-    {
-        dialect.callerHeaders(fields)
-        } -> std::same_as<std::vector<header>>;
-    {
-        dialect.prefillHandle(text)
-        } -> std::same_as<std::optional<std::string>>;
-    {
-        dialect.encodeRelease(text)
-        } -> std::same_as<http_request>;
+concept endpoint_dialect = requires(const T dialect, const relay_dispatch &dispatch, const send_role_order &order, const http_fields &fields, const std::string &text) {
+    { dialect.encode(dispatch) } -> std::same_as<http_request>;
+    { dialect.belongs(fields, text) } -> std::same_as<bool>; // the response echoes the request's id, or no id at all
+    { dialect.traits(0, fields, text) } -> std::same_as<reply_traits>;
+    { dialect.callerHeaders(fields) } -> std::same_as<std::vector<header>>;
+    { dialect.prefillHandle(text) } -> std::same_as<std::optional<std::string>>;
+    { dialect.encodeRelease(text) } -> std::same_as<http_request>;
+    { dialect.encodeOrder(order) } -> std::same_as<http_request>;
+    { dialect.orderRefused(0) } -> std::same_as<bool>;
 };
+// clang-format on
 
 template<endpoint_dialect Dialect>
 class relay_client
@@ -63,12 +54,14 @@
     void run(const relay_dispatch &command);
     void run(const relay_abort &command);
     void run(const release_prefill &command);
+    void run(const send_role_order &command);
 
 private:
     class receiver;
 
     static constexpr auto lateMargin = std::chrono::milliseconds{150}; // the core decides at the deadline; this only frees the connection
     static constexpr std::uint64_t maxStream = std::uint64_t{1} << 40U; // bytes; streams have no size of their own
+    static constexpr auto orderTimeout = std::chrono::milliseconds{900};
     static constexpr auto releaseTimeout = std::chrono::milliseconds{500};
 
     http_client &m_http;
@@ -170,6 +163,18 @@
     }
 }
 
+template<endpoint_dialect Dialect>
+void relay_client<Dialect>::run(const send_role_order &command)
+{
+    auto handler = [this, endpoint = command.endpoint](transfer_end end, bool bytesLeft, int status, const http_fields &, const std::string &) {
+        const bool answered = end == transfer_end::Complete;
+        const bool refused = answered ? m_dialect.orderRefused(status) : !bytesLeft;
+        m_sink(role_order_answered{endpoint, answered ? status : 0, refused});
+    };
+    http_call call{.request = m_dialect.encodeOrder(command), .timeout = orderTimeout};
+    m_http.start(command.address, std::move(call), receiveWhole(std::move(handler)));
+}
+
 // an unused result lapses by itself soon after, so a lost release is not repeated
 template<endpoint_dialect Dialect>
 void relay_client<Dialect>::run(const release_prefill &command)
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -26,22 +26,20 @@
 namespace plantainpoint {
 
 // what a relay VM needs of the system that it runs on
+// clang-format off
 template<class T>
-concept relay_platform = endpoint_dialect<typename T::endpoints> && requires(caller_request &request, typename T::directory &directory, std::string &state)
-{
-    {
-        T::decodeRequest(request)
-        } -> std::same_as<relay_request>;
-    {
-        T::readyPath()
-        } -> std::convertible_to<std::string>;
+concept relay_platform = endpoint_dialect<typename T::endpoints>
+    && requires(caller_request &request, typename T::directory &directory, const std::string &state, const read_order_log &read, const append_order &append) {
+    { T::decodeRequest(request) } -> std::same_as<relay_request>;
+    { T::readyPath() } -> std::convertible_to<std::string>;
     directory.start();
-    directory.leave();
-    {
-        directory.exportState()
-        } -> std::same_as<std::string>;
+    directory.leave(); // other VMs need not look for this one any more
+    { directory.exportState() } -> std::same_as<std::string>;
     directory.importState(state);
+    directory.run(read);
+    directory.run(append);
 };
+// clang-format on
 
 template<relay_platform Platform>
 class relay_vm
@@ -82,6 +80,8 @@
     void run(const send_beat &command) { m_beats.send(command); }
     void run(const fetch_fleet_state &command);
     void run(const log_line &command) { m_logger.write(command); }
+    void run(const read_order_log &command) { m_directory.run(command); }
+    void run(const append_order &command) { m_directory.run(command); }
     void run(const close_to_callers & /*command*/) { m_server.closeIdle(); }
     void run(const stopped &command);
 
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -9,6 +9,7 @@
 
 constexpr double experienceSeconds = 2.5; // time constant: an endpoint that recovers is trusted again after a few seconds
 constexpr double priorAnswers = 3; // answers that a new endpoint is credited with
+constexpr duration switchingHeard = std::chrono::milliseconds{700}; // the VM that gave the order repeats it in its beats
 constexpr duration firstDownTime = std::chrono::milliseconds{250};
 constexpr duration longestDownTime = std::chrono::seconds{2}; // an endpoint that restarts is back in use within this time
 constexpr double newTimeWeight = 0.15; // of the newest sample in the mean time
@@ -56,7 +57,7 @@
 
 bool endpoint_entry::takesWork(time_point now) const
 {
-    return usable(now) && fullUntil <= now && downUntil <= now;
+    return usable(now) && fullUntil <= now && downUntil <= now && switchingUntil <= now;
 }
 
 // an endpoint without a listener refuses within a round trip; one request at a time finds out whether it is back
@@ -103,6 +104,10 @@
         entry.downTime = {};
         entry.gone = false;
     }
+    // the new role is in force
+    if (entry.info.role != info.role) {
+        entry.switchingUntil = {};
+    }
     entry.info = info;
     entry.withdrawnAt.reset();
     return changed;
@@ -184,6 +189,26 @@
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &each) { return each.second.info.service == service && each.second.usable(now); });
 }
 
+std::vector<endpoint_name> endpoint_directory::switching(time_point now) const
+{
+    std::vector<endpoint_name> out;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.switchingUntil > now) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+void endpoint_directory::onSwitching(const std::vector<endpoint_name> &names, time_point now)
+{
+    for (const auto &name : names) {
+        if (auto *const entry = find(name)) {
+            entry->switchingUntil = std::max(entry->switchingUntil, now + switchingHeard);
+        }
+    }
+}
+
 std::vector<endpoint_load> endpoint_directory::ownLoads() const
 {
     std::vector<endpoint_load> out;
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -57,6 +57,7 @@
     time_point fullUntil{}; // it refused work as it had no room
     time_point downUntil{}; // it took no connection
     duration downTime{}; // of the next failed connection; doubles with each
+    time_point switchingUntil{}; // it was ordered to change its role and takes no work until it has
     bool gone = false;
 
     bool usable(time_point now) const;
@@ -86,6 +87,9 @@
     bool hasService(const service_name &service, time_point now) const;
     // open work of this VM, for the beat
     std::vector<endpoint_load> ownLoads() const;
+    // endpoints that were ordered to change their role
+    std::vector<endpoint_name> switching(time_point now) const;
+    void onSwitching(const std::vector<endpoint_name> &names, time_point now);
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -85,6 +85,13 @@
     return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), mayWork));
 }
 
+vm_name fleet_view::lowest(time_point now) const
+{
+    // peers are ordered by name
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto &each) { return isHeard(each.second, now) && !each.second.leaving; });
+    return found == m_peers.end() ? m_self.vm : std::min(found->first, m_self.vm);
+}
+
 endpoint_load fleet_view::loadAt(const endpoint_name &endpoint, time_point now) const
 {
     endpoint_load sum{.endpoint = endpoint};
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -38,6 +38,9 @@
     std::size_t heard(time_point now) const;
     std::size_t members(time_point now) const;
 
+    // the lowest name among the VMs that are heard and do not leave, this one included
+    vm_name lowest(time_point now) const;
+
     // work of the other VMs at an endpoint
     endpoint_load loadAt(const endpoint_name &endpoint, time_point now) const;
 
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -41,6 +41,7 @@
              .directLimit = settings.directLimit}
     , fleet(settings.self, settings.peerAddress)
     , limiter(settings.limitTolerance)
+    , planner(settings.self.vm, {settings.prefillShare, settings.orderLease})
 {
 }
 
@@ -273,14 +274,14 @@
     return m_parts.clock.now() + needed > entry.arrivedAt + entry.route->objective;
 }
 
-// the instant at which the caller gives up before the first byte of the answer
+// the instant at which the caller gives up unless something more of the answer arrives
 time_point relay_requests::patienceEnd(const relay_entry &entry) const
 {
     if (!entry.isStream()) {
         return entry.deadline;
     }
     const auto gap = std::max<duration>(entry.route->objective * abandonFactor, shortestAbandon);
-    return std::min(entry.deadline, entry.arrivedAt + gap);
+    return std::min(entry.deadline, (entry.headSent ? entry.lastPartAt : entry.arrivedAt) + gap);
 }
 
 std::size_t relay_requests::waiting() const
@@ -324,8 +325,9 @@
 void relay_requests::schedule(relay_entry &entry)
 {
     auto at = entry.deadline;
-    if (entry.machine.stage() == relay_stage::Waiting && !entry.headSent) {
-        at = std::min(at, entry.arrivedAt + std::chrono::duration_cast<duration>((patienceEnd(entry) - entry.arrivedAt) * longestWaitPart));
+    if (entry.machine.stage() == relay_stage::Waiting) {
+        const auto begin = entry.headSent ? entry.lastPartAt : entry.arrivedAt;
+        at = std::min(at, begin + std::chrono::duration_cast<duration>((patienceEnd(entry) - begin) * longestWaitPart));
     }
     if (entry.attempt && entry.attempt->moveOnAt) {
         at = std::min(at, *entry.attempt->moveOnAt);
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -216,7 +216,7 @@
     }
 }
 
-void relay_requests::on(stream_part part)
+void relay_requests::on(const stream_part &part)
 {
     auto *const entry = ofAttempt(part.attempt);
     if (entry == nullptr) {
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -28,6 +28,9 @@
     void on(const fleet_beat &beat);
     void on(const members_read &read);
     void on(const shutdown_requested &message);
+    void on(const order_log_read &read) { parts.planner.on(read, parts.clock.now(), parts.out); }
+    void on(const order_appended &appended) { parts.planner.on(appended, parts.endpoints, parts.clock.now(), parts.out); }
+    void on(const role_order_answered &answer) { parts.planner.on(answer, parts.endpoints, parts.clock.now(), parts.out); }
     template<class Message>
     void on(Message message)
     {
@@ -36,6 +39,7 @@
 
     void sendBeats(time_point now);
     void fetchWhenBehind(time_point now);
+    void planRoles(time_point now);
     void stopWhenIdle(time_point now);
 
     relay_parts parts;
@@ -108,6 +112,7 @@
         lastBeat.reset();
     }
     parts.limiter.onBeat(beat, arrival.resumed, now);
+    parts.endpoints.onSwitching(beat.switching, now);
     requests.placeWaiting();
 }
 
@@ -145,10 +150,11 @@
                                                         .directoryPosition = parts.endpoints.position(),
                                                         .leaving = parts.shuttingDown,
                                                         .loads = parts.endpoints.ownLoads(),
+                                                        .switching = parts.planner.ordered(parts.endpoints, now),
                                                         .usage = parts.limiter.usage()});
     // an unchanged beat only shows that the VM lives
-    if (lastBeat && lastBeat->loads == beat->loads && lastBeat->usage == beat->usage && lastBeat->configVersion == beat->configVersion
-        && now - lastBeatAt < idleBeatInterval) {
+    if (lastBeat && lastBeat->loads == beat->loads && lastBeat->switching == beat->switching && lastBeat->usage == beat->usage
+        && lastBeat->configVersion == beat->configVersion && now - lastBeatAt < idleBeatInterval) {
         return;
     }
     lastBeat = *beat;
@@ -173,6 +179,13 @@
     }
 }
 
+void relay_core::state::planRoles(time_point now)
+{
+    if (parts.routes && parts.endpoints.known() && !parts.shuttingDown) {
+        parts.planner.tick(*parts.routes, parts.endpoints, parts.fleet, now, parts.out);
+    }
+}
+
 void relay_core::state::stopWhenIdle(time_point now)
 {
     if (!shutdownAt || stoppedSent || now - *shutdownAt < parts.settings.drainTime) {
@@ -214,6 +227,7 @@
     m_state->parts.endpoints.tick(now);
     m_state->sendBeats(now);
     m_state->fetchWhenBehind(now);
+    m_state->planRoles(now);
     m_state->stopWhenIdle(now);
 }
 
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -232,11 +232,7 @@
                 giveUp(entry, failure::Overloaded, outcome::NotRun, "no place in time");
             }
         } else if (entry.machine.stage() == relay_stage::Waiting) {
-            if (entry.runs == 0 && !entry.headSent) {
-                giveUp(entry, failure::Overloaded, outcome::NotRun, "no place in time");
-            } else {
-                schedule(entry);
-            }
+            giveUp(entry, failure::Overloaded, outcome::NotRun, "no place in time");
         } else if (entry.attempt && entry.attempt->moveOnAt && now >= *entry.attempt->moveOnAt) {
             moveOn(entry);
         } else {
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -18,6 +18,7 @@
 constexpr double failureDelayMs = 600; // of expected first event, at a failure part of 1
 constexpr double silenceDelayMs = 1200;
 constexpr double remoteDelayMs = 4; // prefers near endpoints among equally loaded ones
+constexpr double stallDelayMs = 25; // what each running stream loses while a decode endpoint reads a prompt, as delay of the new one
 constexpr double runningDelayMs = 3; // of one more running request in the batch
 constexpr std::int64_t prefillChunk = 2048; // tokens that an engine reads between two tokens of other requests
 constexpr duration modelSilence = milliseconds{1500}; // no first event for so long is overdue
@@ -123,7 +124,10 @@
         // a prompt that is being read there delays the tokens of an imported request by a chunk at a time
         const auto chunk = std::min(load.prefillTokens, prefillChunk);
         best.importing.offer(entry, common + readingMs(chunk, context.speeds.decodePrefillTokensPerMs));
-        best.direct.offer(entry, common + readingMs(load.prefillTokens + tokens.prompt, context.speeds.decodePrefillTokensPerMs));
+        // two prompts in a row stall the streams of the endpoint beyond their pauses
+        if (load.prefillTokens == 0) {
+            best.direct.offer(entry, common + stallDelayMs * load.running + readingMs(tokens.prompt, context.speeds.decodePrefillTokensPerMs));
+        }
     }
     return best;
 }
@@ -172,17 +176,15 @@
                                            const placement_context &context)
 {
     const auto [direct, importing] = bestDecodes(decodes, profile, tokens, context);
-    if (direct.entry == nullptr) {
+    const auto prefill = bestPrefill(prefills, tokens, context);
+    const bool apartPossible = prefill.entry != nullptr && importing.entry != nullptr;
+    if (direct.entry == nullptr && !apartPossible) {
         return std::nullopt;
     }
-    const model_placement alone{nullptr, direct.entry, ofMs(direct.delayMs)};
-    if (alone.expected <= context.speeds.directLimit) {
-        return alone;
-    }
-    const auto prefill = bestPrefill(prefills, tokens, context);
-    const auto apart = ofMs(prefill.delayMs == std::numeric_limits<double>::infinity() ? 0 : prefill.delayMs + importing.delayMs) + context.speeds.handover;
-    if (prefill.entry == nullptr || apart >= alone.expected) {
-        return alone;
+    const auto apart = apartPossible ? ofMs(prefill.delayMs + importing.delayMs) + context.speeds.handover : duration::max();
+    const auto alone = direct.entry != nullptr ? ofMs(direct.delayMs) : duration::max();
+    if (alone <= context.speeds.directLimit || alone < apart) {
+        return model_placement{nullptr, direct.entry, alone};
     }
     return model_placement{prefill.entry, importing.entry, apart};
 }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -18,6 +18,7 @@
 #include "relay_metrics.hpp"
 #include "relay_placement.hpp"
 #include "retry_budget.hpp"
+#include "role_planner.hpp"
 #include "route_table.hpp"
 
 namespace plantainpoint {
@@ -35,6 +36,7 @@
     endpoint_directory endpoints;
     fleet_view fleet;
     fleet_limiter limiter;
+    role_planner planner;
     relay_metrics metrics;
     std::vector<relay_command> out;
     bool shuttingDown = false;
@@ -93,7 +95,7 @@
     void on(relay_reply reply);
     void on(prefill_reply reply);
     void on(stream_head head);
-    void on(stream_part part);
+    void on(const stream_part &part);
     void on(const relay_end &end);
 
     // endpoints or load have changed: places requests that wait
--- a/test/relay_core_test.cpp
+++ b/test/relay_core_test.cpp
@@ -165,6 +165,22 @@
     BOOST_TEST(answers.size() == 1);
 }
 
+// guards against a loop that never ends: a request that waits for a second place past its time
+BOOST_AUTO_TEST_CASE(waitForASecondPlaceEnds)
+{
+    configure(sampleRelayConfig());
+    announce({endpointNamed("desk-1", "desk")});
+    request("/lookup/1");
+    end(dispatches.back(), reply_end::NotSent);
+    advance(milliseconds{300}); // placed again
+    BOOST_REQUIRE_EQUAL(dispatches.size(), 2);
+    advance(milliseconds{500});
+    end(dispatches.back(), reply_end::NotSent);
+    advance(milliseconds{300});
+    BOOST_REQUIRE_EQUAL(failures.size(), 1);
+    BOOST_TEST((failures[0].result == outcome::NotRun));
+}
+
 // guards against new work for an endpoint that leaves or was withdrawn
 BOOST_AUTO_TEST_CASE(leavingEndpointsGetNoWork)
 {
