Read no prompt at a decode endpoint whose streams it would stall beyond their pause

Cause: a decode endpoint that reads a long prompt sends nothing to its streams for up to 400 ms; each of them was late. Change: direct reading next to running streams only if the stall fits the route's pause.

--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -136,7 +136,7 @@
 
 placement_context relay_requests::context(const relay_entry &entry) const
 {
-    return {m_parts.fleet, m_parts.settings.dataCentre, m_parts.speeds, m_parts.clock.now(), entry.tried};
+    return {m_parts.fleet, m_parts.settings.dataCentre, m_parts.speeds, m_parts.clock.now(), entry.tried, entry.route->gapObjective};
 }
 
 bool relay_requests::place(relay_entry &entry)
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -18,6 +18,8 @@
 constexpr double failureDelayMs = 600; // of expected first event, at a failure part of 1
 constexpr double silenceDelayMs = 1200;
 constexpr double remoteDelayMs = 4; // prefers near endpoints among equally loaded ones
+constexpr double slowestEndpoint = 1.3; // reading time of a slow endpoint, as a multiple
+constexpr duration eventTime = milliseconds{70}; // usual pause between two events
 constexpr double stallDelayMs = 25; // what each running stream loses while a decode endpoint reads a prompt, as delay of the new one
 constexpr double runningDelayMs = 3; // of one more running request in the batch
 constexpr std::int64_t prefillChunk = 2048; // tokens that an engine reads between two tokens of other requests
@@ -104,6 +106,13 @@
     return best;
 }
 
+// the streams of an endpoint stand still while it reads a prompt
+bool stallsBriefly(const token_count &tokens, const placement_context &context)
+{
+    const auto stall = readingMs(tokens.prompt, context.speeds.decodePrefillTokensPerMs) * slowestEndpoint;
+    return context.longestPause == duration{} || ofMs(stall) + eventTime < context.longestPause;
+}
+
 struct decode_choices {
     scored direct; // reads the prompt itself
     scored importing; // fetches a prefill result
@@ -125,7 +134,7 @@
         const auto chunk = std::min(load.prefillTokens, prefillChunk);
         best.importing.offer(entry, common + readingMs(chunk, context.speeds.decodePrefillTokensPerMs));
         // two prompts in a row stall the streams of the endpoint beyond their pauses
-        if (load.prefillTokens == 0) {
+        if (load.prefillTokens == 0 && (load.running == 0 || stallsBriefly(tokens, context))) {
             best.direct.offer(entry, common + stallDelayMs * load.running + readingMs(tokens.prompt, context.speeds.decodePrefillTokensPerMs));
         }
     }
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -26,6 +26,7 @@
     const engine_speeds &speeds;
     time_point now{};
     const std::set<endpoint_name> &excluded; // endpoints that have had the request
+    duration longestPause{}; // between two events that streams of the service may have; zero: any
 };
 
 // the least loaded endpoint of a plain service; null when all are full
