--- a/src/role_planner.cpp
+++ b/src/role_planner.cpp
@@ -89,6 +89,7 @@
 
 void role_planner::tick(const route_table &routes, endpoint_directory &endpoints, const fleet_view &fleet, time_point now, std::vector<relay_command> &out)
 {
+    const bool known = settled(endpoints, now);
     if (m_settings.prefillShare <= 0 || !leads(fleet, now) || now < m_nextAt) {
         return;
     }
@@ -98,7 +99,7 @@
         }
         return;
     }
-    m_plan = settled(endpoints, now) ? wanted(routes, endpoints, now) : std::nullopt;
+    m_plan = known ? wanted(routes, endpoints, now) : std::nullopt;
     if (!m_plan || !endpoints.reachable()) {
         return;
     }
--- a/test/relay_core_test.cpp
+++ b/test/relay_core_test.cpp
@@ -384,6 +384,8 @@
         for (; seen < dispatches.size(); ++seen) {
             running.emplace_back(clock.now() + milliseconds{200}, dispatches[seen]);
             // callers are numbered by arrival, one every 25 ms
+            beginStream(dispatches[seen]);
+            part(dispatches[seen], "id: 1\n\n"); // a short prompt is read at once
             const auto arrived = before - milliseconds{25} * (static_cast<std::int64_t>(lastCaller) - std::stoll(dispatches[seen].payload->id.substr(3)));
             inTime += clock.now() - arrived < milliseconds{300} ? 1 : 0;
         }
@@ -391,8 +393,6 @@
         while (!running.empty() && running.front().first <= clock.now()) {
             const auto done = running.front().second;
             running.erase(running.begin());
-            beginStream(done);
-            part(done, "id: 1\n\n");
             end(done, reply_end::Complete);
         }
     }
