--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -56,6 +56,7 @@
 void readLogging(settings_section &&section, relay_options &out)
 {
     out.logLevel = static_cast<severity>(section.choice("level", static_cast<std::size_t>(severity::Info), {"debug", "info", "warning", "error"}));
+    out.logLinesPerSecond = static_cast<std::uint32_t>(section.integer("lines_per_second", out.logLinesPerSecond, 1, 1'000'000));
     out.logFormat = static_cast<log_format>(section.choice("format", static_cast<std::size_t>(log_format::Text), {"text", "json"}));
     section.finish();
 }
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -18,6 +18,7 @@
 #include "beat_link.hpp"
 #include "clocks.hpp"
 #include "http_server.hpp"
+#include "log_limiter.hpp"
 #include "plantainpoint/relay_core.hpp"
 #include "relay_client.hpp"
 #include "relay_options.hpp"
@@ -79,7 +80,7 @@
 
     void run(const send_beat &command) { m_beats.send(command); }
     void run(const fetch_fleet_state &command);
-    void run(const log_line &command) { m_logger.write(command); }
+    void run(const log_line &command);
     void run(const read_order_log &command) { m_directory.run(command); }
     void run(const append_order &command) { m_directory.run(command); }
     void run(const close_to_callers & /*command*/) { m_server.closeIdle(); }
@@ -89,6 +90,7 @@
     std::string m_settingsFile;
     relay_options m_options;
     line_logger m_logger;
+    log_limiter m_logLimiter;
     boot_time_source m_clock;
     shell_metrics m_metrics;
     relay_core m_core;
@@ -119,6 +121,7 @@
     , m_settingsFile(std::move(settingsFile))
     , m_options(std::move(options))
     , m_logger(m_options.logLevel, m_options.logFormat)
+    , m_logLimiter(m_options.logLinesPerSecond)
     , m_core(m_options.core, m_clock)
     , m_http(io, endpointOptions)
     , m_directoryHttp(io, storeOptions)
@@ -326,6 +329,18 @@
     m_directoryHttp.start(command.address, std::move(call), receiveWhole(std::move(handler)));
 }
 
+template<relay_platform Platform>
+void relay_vm<Platform>::run(const log_line &command)
+{
+    if (!m_logLimiter.pass(command.level, command.from, m_clock.now())) {
+        return;
+    }
+    if (const auto report = m_logLimiter.report(command.from)) {
+        m_logger.write(severity::Warning, command.from, *report);
+    }
+    m_logger.write(command);
+}
+
 template<relay_platform Platform>
 void relay_vm<Platform>::run(const stopped & /*command*/)
 {
--- /dev/null
+++ b/test/log_limiter_test.cpp
@@ -0,0 +1,28 @@
+// volume of the log under load
+#include <boost/test/unit_test.hpp>
+
+#include "log_limiter.hpp"
+
+using namespace plantainpoint;
+
+BOOST_AUTO_TEST_SUITE(log_limiter_volume)
+
+// guards against a log that grows with the load, and against lines that vanish without a count
+BOOST_AUTO_TEST_CASE(linesAreBoundedAndCounted)
+{
+    log_limiter limiter(10);
+    time_point now{std::chrono::hours{1}};
+    int passed = 0;
+    for (int i = 0; i < 100; ++i) {
+        passed += limiter.pass(severity::Info, part::Http, now) ? 1 : 0;
+    }
+    BOOST_TEST(passed == 10);
+    BOOST_TEST(limiter.report(part::Http).value_or("") == "lines left out=90");
+    BOOST_TEST(!limiter.report(part::Http).has_value());
+    BOOST_TEST(limiter.pass(severity::Info, part::Log, now));
+    BOOST_TEST(limiter.pass(severity::Warning, part::Http, now));
+    now += std::chrono::seconds{1};
+    BOOST_TEST(limiter.pass(severity::Info, part::Http, now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
