--- /dev/null
+++ b/shell/core_loop.hpp
@@ -0,0 +1,157 @@
+// drives a decision core from an event loop: one message or tick at a time, the commands of each before the next
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "plantainpoint/clock.hpp"
+
+namespace plantainpoint {
+
+template<class Core, class Input>
+class core_loop
+{
+public:
+    // all have to outlive the loop. execute runs the commands of the core; inputs that arise meanwhile wait.
+    core_loop(boost::asio::io_context &io, const clock_source &clock, Core &core, std::function<void()> execute)
+        : m_io(io)
+        , m_clock(clock)
+        , m_core(core)
+        , m_execute(std::move(execute))
+        , m_tickTimer(io)
+        , m_stopTimer(io)
+    {
+    }
+
+    void deliver(Input message);
+    void tick();
+
+    // nothing that arrives from here on reaches the core
+    void mute() { m_running = true; }
+
+    // ends the ticks; the event loop ends once `flushed` holds, at the latest after `limit`
+    void stop(std::function<bool()> flushed, duration limit, std::function<void()> stopped);
+    bool isStopping() const { return m_stopping; }
+
+private:
+    static constexpr auto flushInterval = std::chrono::milliseconds{5};
+
+    void drain();
+    void schedule();
+    void waitForFlush();
+
+    boost::asio::io_context &m_io;
+    const clock_source &m_clock;
+    Core &m_core;
+    std::function<void()> m_execute;
+    std::function<bool()> m_flushed;
+    std::function<void()> m_stopped;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_stopTimer;
+    std::deque<Input> m_inbox; // inputs that arise while commands are executed
+    time_point m_tickAt{}; // expiry of the pending wait
+    time_point m_stopBy{};
+    bool m_tickPending = false;
+    bool m_running = false;
+    bool m_stopping = false;
+};
+
+template<class Core, class Input>
+void core_loop<Core, Input>::deliver(Input message)
+{
+    if (m_running) {
+        m_inbox.push_back(std::move(message));
+        return;
+    }
+    m_running = true;
+    m_core.handle(std::move(message));
+    drain();
+}
+
+template<class Core, class Input>
+void core_loop<Core, Input>::tick()
+{
+    if (m_running) {
+        return;
+    }
+    m_running = true;
+    m_core.tick();
+    drain();
+}
+
+template<class Core, class Input>
+void core_loop<Core, Input>::drain()
+{
+    m_execute();
+    while (!m_inbox.empty()) {
+        auto message = std::move(m_inbox.front());
+        m_inbox.pop_front();
+        m_core.handle(std::move(message));
+        m_execute();
+    }
+    m_running = false;
+    schedule();
+}
+
+// a wait that expires before the next tick is due is left alone, so that a token costs no timer operation
+template<class Core, class Input>
+void core_loop<Core, Input>::schedule()
+{
+    const auto next = m_core.nextTick();
+    if (m_stopping || (m_tickPending && m_tickAt <= next)) {
+        return;
+    }
+    m_tickPending = true;
+    m_tickAt = next;
+    m_tickTimer.expires_after(std::max(next - m_clock.now(), duration{}));
+    m_tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_tickPending = false;
+        if (m_clock.now() >= m_core.nextTick()) {
+            tick();
+        } else {
+            schedule();
+        }
+    });
+}
+
+template<class Core, class Input>
+void core_loop<Core, Input>::stop(std::function<bool()> flushed, duration limit, std::function<void()> stopped)
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_flushed = std::move(flushed);
+    m_stopped = std::move(stopped);
+    m_tickTimer.cancel();
+    m_stopBy = m_clock.now() + limit;
+    waitForFlush();
+}
+
+template<class Core, class Input>
+void core_loop<Core, Input>::waitForFlush()
+{
+    m_stopTimer.expires_after(flushInterval);
+    m_stopTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (m_flushed() || m_clock.now() >= m_stopBy) {
+            m_stopped();
+            m_io.stop();
+        } else {
+            waitForFlush();
+        }
+    });
+}
+
+} // namespace plantainpoint
--- a/shell/entry_vm.cpp
+++ b/shell/entry_vm.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr auto flushTime = std::chrono::seconds{2}; // for answers that are still being written when the core has stopped
-constexpr auto flushInterval = std::chrono::milliseconds{5};
 
 } // namespace
 
@@ -30,16 +29,14 @@
     , m_server(
           io, {m_settings.limits, m_settings.tls}, [this](input message) { deliver(std::move(message)); }, m_logger, m_metrics)
     , m_admin(io, adminViews())
-    , m_tickTimer(io)
-    , m_stopTimer(io)
+    , m_loop(io, m_clock, m_core, [this] { execute(); })
     , m_signals(io)
 {
 }
 
 entry_vm::~entry_vm()
 {
-    // nothing that ends from here on reaches the core
-    m_running = true;
+    m_loop.mute();
 }
 
 vm_settings entry_vm::coreSettings() const
@@ -79,7 +76,7 @@
     m_signals.add(SIGINT);
     waitForSignal();
     m_logger.write(severity::Info, part::Http, "Listening on " + m_settings.listenAddress + (m_settings.tls ? " with TLS." : "."));
-    tick();
+    m_loop.tick();
     return absl::OkStatus();
 }
 
@@ -108,40 +105,6 @@
     deliver(shutdown_requested{});
 }
 
-void entry_vm::deliver(input message)
-{
-    if (m_running) {
-        m_inbox.push_back(std::move(message));
-        return;
-    }
-    m_running = true;
-    m_core.handle(std::move(message));
-    drain();
-}
-
-void entry_vm::tick()
-{
-    if (m_running) {
-        return;
-    }
-    m_running = true;
-    m_core.tick();
-    drain();
-}
-
-void entry_vm::drain()
-{
-    execute();
-    while (!m_inbox.empty()) {
-        input message = std::move(m_inbox.front());
-        m_inbox.pop_front();
-        m_core.handle(std::move(message));
-        execute();
-    }
-    m_running = false;
-    schedule();
-}
-
 void entry_vm::execute()
 {
     const auto runOne = [this](auto &command) {
@@ -170,55 +133,13 @@
     }
 }
 
-// a wait that expires before the next tick is due is left alone, so that a token costs no timer operation
-void entry_vm::schedule()
-{
-    const auto next = m_core.nextTick();
-    if (m_stopped || (m_tickPending && m_tickAt <= next)) {
-        return;
-    }
-    m_tickPending = true;
-    m_tickAt = next;
-    m_tickTimer.expires_after(std::max(next - m_clock.now(), duration{}));
-    m_tickTimer.async_wait([this](const boost::system::error_code &error) {
-        if (error) {
-            return;
-        }
-        m_tickPending = false;
-        if (m_clock.now() >= m_core.nextTick()) {
-            tick();
-        } else {
-            schedule();
-        }
-    });
-}
-
 void entry_vm::run(const stopped & /*command*/)
 {
-    if (m_stopped) {
+    if (m_loop.isStopping()) {
         return;
     }
-    m_stopped = true;
     m_server.stopListening();
-    m_tickTimer.cancel();
-    m_stopBy = m_clock.now() + flushTime;
-    stopWhenFlushed();
-}
-
-void entry_vm::stopWhenFlushed()
-{
-    m_stopTimer.expires_after(flushInterval);
-    m_stopTimer.async_wait([this](const boost::system::error_code &error) {
-        if (error) {
-            return;
-        }
-        if (m_server.flushed() || m_clock.now() >= m_stopBy) {
-            m_logger.write(severity::Info, part::Core, "Stopped.");
-            m_io.stop();
-        } else {
-            stopWhenFlushed();
-        }
-    });
+    m_loop.stop([this] { return m_server.flushed(); }, flushTime, [this] { m_logger.write(severity::Info, part::Core, "Stopped."); });
 }
 
 } // namespace plantainpoint
--- a/shell/entry_vm.hpp
+++ b/shell/entry_vm.hpp
@@ -1,16 +1,15 @@
 // drives the decision core of an entry VM from one event loop
 #pragma once
 
-#include <deque>
 #include <memory>
 
 #include <absl/status/status.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "admin_server.hpp"
 #include "clocks.hpp"
+#include "core_loop.hpp"
 #include "endpoint_client.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
@@ -43,13 +42,9 @@
     void shutDown();
 
 private:
-    void deliver(input message);
-    void tick();
-    void drain();
+    void deliver(input message) { m_loop.deliver(std::move(message)); }
     void execute();
-    void schedule();
     void waitForSignal();
-    void stopWhenFlushed();
     vm_settings coreSettings() const;
     admin_views adminViews();
 
@@ -71,16 +66,9 @@
     peer_link m_peers;
     http_server m_server;
     admin_server m_admin;
-    boost::asio::steady_timer m_tickTimer;
-    boost::asio::steady_timer m_stopTimer;
+    core_loop<vm_core, input> m_loop;
     boost::asio::signal_set m_signals;
-    std::deque<input> m_inbox; // inputs that arise while commands are executed
-    time_point m_tickAt{}; // expiry of the pending wait
-    time_point m_stopBy{};
-    bool m_tickPending = false;
-    bool m_running = false;
     bool m_shuttingDown = false;
-    bool m_stopped = false;
 };
 
 } // namespace plantainpoint
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -1,22 +1,20 @@
 // drives the relay core of a VM from one event loop
 #pragma once
 
-#include <algorithm>
 #include <concepts>
 #include <csignal>
-#include <deque>
 #include <string>
 #include <utility>
 
 #include <absl/status/statusor.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include "admin_server.hpp"
 #include "beat_link.hpp"
 #include "clocks.hpp"
+#include "core_loop.hpp"
 #include "http_server.hpp"
 #include "log_limiter.hpp"
 #include "plantainpoint/relay_core.hpp"
@@ -48,7 +46,7 @@
 public:
     // the context has to outlive the VM
     relay_vm(boost::asio::io_context &io, std::string settingsFile, relay_options options);
-    ~relay_vm() { m_running = true; }
+    ~relay_vm() { m_loop.mute(); }
     relay_vm(const relay_vm &) = delete;
     relay_vm &operator=(const relay_vm &) = delete;
 
@@ -59,23 +57,18 @@
     static constexpr const char *statePath = "/fleet/state";
     static constexpr auto fetchTimeout = std::chrono::milliseconds{800};
     static constexpr auto flushTime = std::chrono::seconds{1}; // for answers that are still being written when the core has stopped
-    static constexpr auto flushInterval = std::chrono::milliseconds{5};
     static constexpr auto storeOptions =
         http_client_options{.connectTimeout = std::chrono::milliseconds{300}, .unconfirmedTimeout = std::chrono::milliseconds{900}, .idlePerAddress = 2};
     // an endpoint that does not take a connection in this time would not answer within the objective either
     static constexpr auto endpointOptions =
         http_client_options{.connectTimeout = std::chrono::milliseconds{250}, .unconfirmedTimeout = std::chrono::milliseconds{900}, .idlePerAddress = 6};
 
-    void deliver(relay_input message);
+    void deliver(relay_input message) { m_loop.deliver(std::move(message)); }
     void onCaller(input message);
-    void tick();
-    void drain();
     void execute();
-    void schedule();
     void waitForSignal();
     void reload();
     void shutDown();
-    void stopWhenFlushed();
     admin_views adminViews();
 
     void run(const send_beat &command) { m_beats.send(command); }
@@ -102,17 +95,10 @@
     http_server m_server;
     admin_server m_ready;
     admin_server m_admin;
-    boost::asio::steady_timer m_tickTimer;
-    boost::asio::steady_timer m_stopTimer;
+    core_loop<relay_core, relay_input> m_loop;
     boost::asio::signal_set m_signals;
-    std::deque<relay_input> m_inbox; // inputs that arise while commands are executed
     std::uint64_t m_boundsVersion = 0;
-    time_point m_tickAt{};
-    time_point m_stopBy{};
-    bool m_tickPending = false;
-    bool m_running = false;
     bool m_shuttingDown = false;
-    bool m_stopped = false;
 };
 
 template<relay_platform Platform>
@@ -138,8 +124,7 @@
           m_metrics)
     , m_ready(io, adminViews())
     , m_admin(io, adminViews())
-    , m_tickTimer(io)
-    , m_stopTimer(io)
+    , m_loop(io, m_clock, m_core, [this] { execute(); })
     , m_signals(io)
 {
 }
@@ -179,7 +164,7 @@
     waitForSignal();
     m_logger.write(severity::Info, part::Core, "Started vm=" + m_options.core.self.vm.value + " listen=" + m_options.listenAddress + '.');
     m_directory.start();
-    tick();
+    m_loop.tick();
     return absl::OkStatus();
 }
 
@@ -232,47 +217,6 @@
     }
 }
 
-template<relay_platform Platform>
-void relay_vm<Platform>::deliver(relay_input message)
-{
-    if (m_running) {
-        m_inbox.push_back(std::move(message));
-        return;
-    }
-    m_running = true;
-    m_core.handle(std::move(message));
-    drain();
-}
-
-template<relay_platform Platform>
-void relay_vm<Platform>::tick()
-{
-    if (m_running) {
-        return;
-    }
-    m_running = true;
-    m_core.tick();
-    drain();
-}
-
-template<relay_platform Platform>
-void relay_vm<Platform>::drain()
-{
-    execute();
-    while (!m_inbox.empty()) {
-        auto message = std::move(m_inbox.front());
-        m_inbox.pop_front();
-        m_core.handle(std::move(message));
-        execute();
-    }
-    if (const auto version = m_core.configVersion(); version != m_boundsVersion) {
-        m_boundsVersion = version;
-        m_server.setBounds(m_core.bounds());
-    }
-    m_running = false;
-    schedule();
-}
-
 template<relay_platform Platform>
 void relay_vm<Platform>::execute()
 {
@@ -289,29 +233,10 @@
     for (auto &each : commands) {
         std::visit(runOne, each);
     }
-}
-
-template<relay_platform Platform>
-void relay_vm<Platform>::schedule()
-{
-    const auto next = m_core.nextTick();
-    if (m_stopped || (m_tickPending && m_tickAt <= next)) {
-        return;
+    if (const auto version = m_core.configVersion(); version != m_boundsVersion) {
+        m_boundsVersion = version;
+        m_server.setBounds(m_core.bounds());
     }
-    m_tickPending = true;
-    m_tickAt = next;
-    m_tickTimer.expires_after(std::max(next - m_clock.now(), duration{}));
-    m_tickTimer.async_wait([this](const boost::system::error_code &error) {
-        if (error) {
-            return;
-        }
-        m_tickPending = false;
-        if (m_clock.now() >= m_core.nextTick()) {
-            tick();
-        } else {
-            schedule();
-        }
-    });
 }
 
 template<relay_platform Platform>
@@ -344,28 +269,8 @@
 template<relay_platform Platform>
 void relay_vm<Platform>::run(const stopped & /*command*/)
 {
-    m_stopped = true;
     m_server.stopListening();
-    m_tickTimer.cancel();
-    m_stopBy = m_clock.now() + flushTime;
-    stopWhenFlushed();
-}
-
-template<relay_platform Platform>
-void relay_vm<Platform>::stopWhenFlushed()
-{
-    m_stopTimer.expires_after(flushInterval);
-    m_stopTimer.async_wait([this](const boost::system::error_code &error) {
-        if (error) {
-            return;
-        }
-        if (m_server.flushed() || m_clock.now() >= m_stopBy) {
-            m_logger.write(severity::Info, part::Core, "Stopped.");
-            m_io.stop();
-        } else {
-            stopWhenFlushed();
-        }
-    });
+    m_loop.stop([this] { return m_server.flushed(); }, flushTime, [this] { m_logger.write(severity::Info, part::Core, "Stopped."); });
 }
 
 } // namespace plantainpoint
