Leave a pausing attempt alone unless another endpoint has a place

Measured: pausingStreamIsKeptWhenNoOtherPlaceIsFree fails before (aborted), passes after; 29 cases of the relay pass.

--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -140,20 +140,28 @@
 }
 
 bool relay_requests::place(relay_entry &entry)
+{
+    return isModelRequest(entry) ? placeModel(entry) : placePlain(entry);
+}
+
+bool relay_requests::isModelRequest(const relay_entry &entry)
 {
     const auto *const service = entry.table->service(entry.service);
-    const bool model = service != nullptr && service->engine && entry.request.tokens;
-    return model ? placeModel(entry) : placePlain(entry);
+    return service != nullptr && service->engine && entry.request.tokens;
 }
 
-bool relay_requests::placePlain(relay_entry &entry)
+std::vector<endpoint_entry *> relay_requests::plainCandidates(const service_name &service)
 {
     const auto now = m_parts.clock.now();
-    auto candidates = m_parts.endpoints.candidates(entry.service, endpoint_role::Plain, now);
-    // a model request without a size goes to any decode endpoint
-    const auto decodes = m_parts.endpoints.candidates(entry.service, endpoint_role::Decode, now);
+    auto candidates = m_parts.endpoints.candidates(service, endpoint_role::Plain, now);
+    const auto decodes = m_parts.endpoints.candidates(service, endpoint_role::Decode, now);
     candidates.insert(candidates.end(), decodes.begin(), decodes.end());
-    auto *const endpoint = choosePlain(candidates, context(entry));
+    return candidates;
+}
+
+bool relay_requests::placePlain(relay_entry &entry)
+{
+    auto *const endpoint = choosePlain(plainCandidates(entry.service), context(entry));
     if (endpoint == nullptr) {
         return false;
     }
@@ -202,9 +210,7 @@
         return;
     }
     auto &queue = m_waiting[entry.service];
-    auto candidates = m_parts.endpoints.candidates(entry.service, endpoint_role::Plain, now);
-    const auto decodes = m_parts.endpoints.candidates(entry.service, endpoint_role::Decode, now);
-    candidates.insert(candidates.end(), decodes.begin(), decodes.end());
+    const auto candidates = plainCandidates(entry.service);
     std::int32_t slots = 1;
     duration meanTime = milliseconds{1};
     for (const auto *each : candidates) {
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -266,13 +266,15 @@
 
 bool relay_requests::canPlaceElsewhere(const relay_entry &entry)
 {
-    const auto now = m_parts.clock.now();
     auto excluded = entry.tried;
     excluded.insert(entry.attempt->endpoint);
-    const auto usable = [&](const endpoint_entry *each) { return !excluded.contains(each->info.name) && each->takesWork(now); };
-    const auto role = entry.isStream() ? endpoint_role::Decode : endpoint_role::Plain;
-    const auto candidates = m_parts.endpoints.candidates(entry.service, role, now);
-    return std::any_of(candidates.begin(), candidates.end(), usable);
+    auto where = context(entry);
+    const placement_context elsewhere{where.fleet, where.dataCentre, where.speeds, where.now, excluded, where.longestPause};
+    if (!isModelRequest(entry)) {
+        return choosePlain(plainCandidates(entry.service), elsewhere) != nullptr;
+    }
+    const auto decodes = m_parts.endpoints.candidates(entry.service, endpoint_role::Decode, elsewhere.now);
+    return chooseModel({}, decodes, *entry.table->service(entry.service)->engine, *entry.request.tokens, elsewhere).has_value();
 }
 
 // the caller has its final answer or is gone
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -115,6 +115,9 @@
     void refuse(caller_id caller, const relay_payload &payload, failure reason, std::optional<duration> retryAfter, std::string_view detail);
 
     // placement
+    static bool isModelRequest(const relay_entry &entry);
+    // plain endpoints, and decode endpoints for model requests without a size
+    std::vector<endpoint_entry *> plainCandidates(const service_name &service);
     bool place(relay_entry &entry);
     bool placePlain(relay_entry &entry);
     bool placeModel(relay_entry &entry);
--- a/test/relay_core_test.cpp
+++ b/test/relay_core_test.cpp
@@ -367,6 +367,26 @@
     BOOST_TEST(broken == 0);
 }
 
+// guards against a stream that is ended because it pauses although no other endpoint can go on with it
+BOOST_AUTO_TEST_CASE(pausingStreamIsKeptWhenNoOtherPlaceIsFree)
+{
+    configure(sampleRelayConfig());
+    announce({endpointNamed("dec-1", "llm", endpoint_role::Decode), endpointNamed("dec-2", "llm", endpoint_role::Decode)});
+    modelRequest("/resume/1");
+    const auto stream = dispatches.back();
+    beginStream(stream);
+    part(stream, "id: 1\ndata: a\n\n");
+    const auto other = stream.endpoint.value == "dec-1" ? "dec-2" : "dec-1";
+    core.handle(fleet_beat{.from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .loads = {{.endpoint = {other}, .running = 2}}});
+    collect();
+    advance(milliseconds{800});
+    BOOST_TEST(aborted.empty());
+    BOOST_TEST(broken == 0);
+    part(stream, "id: 2\ndata: b\n\n");
+    end(stream, reply_end::Complete);
+    BOOST_TEST(streamEnds == 1);
+}
+
 // replays an overload of four times the slots: guards against an order that makes every request late
 BOOST_AUTO_TEST_CASE(overloadServesSomeInTime)
 {
