--- a/shell/logging.cpp
+++ b/shell/logging.cpp
@@ -1,7 +1,11 @@
 #include "logging.hpp"
 
+#include <iostream>
 #include <string>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <easylogging++.h>
 
 #include "json_text.hpp"
@@ -62,6 +66,24 @@
     el::Loggers::reconfigureLogger(loggerName, configuration);
 }
 
+void line_logger::setNonBlocking()
+{
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+// the stream refuses everything after a write that would have blocked
+void line_logger::recover() const
+{
+    if (std::cout.good()) {
+        return;
+    }
+    ++m_lost;
+    std::cout.clear();
+}
+
 void line_logger::write(const log_line &line) const
 {
     write(line.level, line.from, line.text, line.label);
@@ -72,20 +94,25 @@
     if (level < m_level) {
         return;
     }
-    const auto message = m_format == log_format::Json ? jsonMessage(from, text, label) : textMessage(from, text, label);
+    recover();
+    const std::string counted = m_lost > 0 ? std::string(text) + " lost_lines=" + std::to_string(m_lost) : std::string(text);
+    const auto message = m_format == log_format::Json ? jsonMessage(from, counted, label) : textMessage(from, counted, label);
     switch (level) {
     case severity::Debug:
         CLOG(DEBUG, loggerName) << message;
-        return;
+        break;
     case severity::Info:
         CLOG(INFO, loggerName) << message;
-        return;
+        break;
     case severity::Warning:
         CLOG(WARNING, loggerName) << message;
-        return;
+        break;
     case severity::Error:
         CLOG(ERROR, loggerName) << message;
-        return;
+        break;
+    }
+    if (std::cout.good()) {
+        m_lost = 0;
     }
 }
 
--- a/shell/logging.hpp
+++ b/shell/logging.hpp
@@ -1,6 +1,7 @@
 // log lines with a fixed prefix per part and the request label
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -20,12 +21,17 @@
     line_logger(severity level, log_format format);
 
     void setLevel(severity level) { m_level = level; }
+    // a reader that does not keep up loses lines and holds nobody up; the lines lost are counted in the next one that is written
+    void setNonBlocking();
     void write(const log_line &line) const;
     void write(severity level, part from, std::string_view text, const std::optional<request_label> &label = std::nullopt) const;
 
 private:
+    void recover() const;
+
     severity m_level;
     log_format m_format;
+    mutable std::uint64_t m_lost = 0; // lines since the last one that was written whole
 };
 
 } // namespace plantainpoint
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -158,6 +158,7 @@
     if (auto bound = m_server.listen(m_options.listenAddress); !bound.ok()) {
         return bound;
     }
+    m_logger.setNonBlocking();
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
     m_signals.add(SIGHUP);
--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -29,6 +29,7 @@
 
 class Worker(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
 
     def log_message(self, *args):
         pass
@@ -105,13 +106,13 @@
         self.relays = {}
         self.store = self.spawn("platform-store-standin", ["--listen", f"{HOST}:{self.store_port}"])
 
-    def spawn(self, program, arguments):
+    def spawn(self, program, arguments, output=None):
         log = open(os.path.join(self.folder, f"{program}-{len(self.processes)}.log"), "w")
-        process = subprocess.Popen([os.path.join(self.build, program), *arguments], stdout=log, stderr=log)
+        process = subprocess.Popen([os.path.join(self.build, program), *arguments], stdout=output or log, stderr=log)
         self.processes.append(process)
         return process
 
-    def start_relay(self, name, ports=None):
+    def start_relay(self, name, ports=None, output=None):
         ports = ports or [free_port() for _ in range(3)]
         path = os.path.join(self.folder, f"{name}.yaml")
         with open(path, "w") as out:
@@ -119,7 +120,7 @@
                 f"vm: {name}\ndata_centre: dc-a\nlisten: {HOST}:{ports[0]}\nready: {HOST}:{ports[1]}\npeer: {HOST}:{ports[2]}\n"
                 f"directory: {HOST}:{self.store_port}\ndirectory_interval: 100ms\nengines:\n  direct_limit: 0ms\n"
             )
-        self.relays[name] = (self.spawn("plantainpoint-relay", ["--settings", path]), ports)
+        self.relays[name] = (self.spawn("plantainpoint-relay", ["--settings", path], output), ports)
 
     def append(self, topic, key, value):
         body = record(key, value if isinstance(value, bytes) else json.dumps(value).encode())
@@ -199,6 +200,12 @@
     assert decode.seen[-1][1].get("X-Kv-Source", "").endswith("/h1"), decode.seen[-1]
 
 
+def check_unread_log(fleet):
+    # nobody reads the output of vm-1: its pipe is full after some hundred lines
+    for _ in range(600):
+        assert fleet.request("vm-1", "/look/1")[0] == 200
+
+
 def check_outage(fleet):
     fleet.control(mode="silent")
     time.sleep(1.5)
@@ -247,7 +254,7 @@
     desk, prefill, decode = start_worker("i-desk"), start_worker("i-pre", "prefill"), start_worker("i-dec", "decode")
     try:
         wait_for("the store listens", lambda: socket.socket().connect_ex((HOST, fleet.store_port)) == 0, 5.0)
-        fleet.start_relay("vm-1")
+        fleet.start_relay("vm-1", output=subprocess.PIPE)
         fleet.start_relay("vm-2")
         time.sleep(0.5)
         assert not fleet.ready("vm-1"), "ready without a configuration"
@@ -261,6 +268,7 @@
         time.sleep(0.3)
         check_requests(fleet, desk)
         check_stream(fleet, decode)
+        check_unread_log(fleet)
         check_outage(fleet)
         check_withdrawal(fleet)
         check_shutdown(fleet, decode)
