Share the retry budget with VMs that have not been heard yet and drop unused fields

Cause: a VM that has just started counted itself as the whole fleet and took all of the retry slack.

--- a/include/plantainpoint/relay_config.hpp
+++ b/include/plantainpoint/relay_config.hpp
@@ -60,7 +60,6 @@
 
 struct relay_service {
     service_name name;
-    std::int32_t maxConnections = 100; // of one endpoint, over all VMs
     std::optional<engine_profile> engine; // empty: a plain service
 
     bool operator==(const relay_service &) const = default;
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -14,6 +14,7 @@
 constexpr duration shortestOverloadRetry = milliseconds{200};
 constexpr std::int64_t abandonFactor = 4; // callers leave a stream without an event after this multiple of its objective
 constexpr duration shortestAbandon = milliseconds{2000};
+constexpr double budgetPart = 0.75; // of the retries that the operator allows
 constexpr std::int64_t overloadReturn = 3; // times the objective: about the time in which a full engine has finished its requests
 constexpr double longestWaitPart = 0.6; // of the time that a request has; a caller that is refused later cannot come back in time
 
@@ -121,12 +122,7 @@
     auto &held = *entry;
     const auto caller = held.request.caller;
     m_entries.emplace(caller, std::move(entry));
-    const auto scale = static_cast<double>(retry_budget::perRetry);
-    // the fleet's slack is shared; a quarter of it is left for VMs that start meanwhile
-    const double slack = 0.75 * m_parts.settings.retrySlack * scale / static_cast<double>(std::max<std::size_t>(m_parts.fleet.members(held.arrivedAt), 1));
-    const auto perRequest = static_cast<std::int64_t>(m_parts.settings.retryRatio * 0.75 * scale);
-    auto &budget = m_budgets.try_emplace(held.service, perRequest, static_cast<std::int64_t>(slack), static_cast<std::int64_t>(slack) / 2).first->second;
-    budget.earn();
+    budgetOf(held.service).earn();
     if (place(held)) {
         schedule(held);
     } else {
@@ -134,6 +130,21 @@
     }
 }
 
+// this VM's part of the fleet's retries for a service; a quarter is left for VMs that start meanwhile
+retry_budget &relay_requests::budgetOf(const service_name &service)
+{
+    const auto found = m_budgets.find(service);
+    if (found != m_budgets.end()) {
+        return found->second;
+    }
+    constexpr std::size_t assumedFleet = 8; // a VM that has just started has not heard the others
+    const auto members = static_cast<double>(std::max(m_parts.fleet.members(m_parts.clock.now()), assumedFleet));
+    const auto scale = budgetPart * static_cast<double>(retry_budget::perRetry);
+    const auto limit = static_cast<std::int64_t>(m_parts.settings.retrySlack * scale / members);
+    const auto perRequest = static_cast<std::int64_t>(m_parts.settings.retryRatio * scale);
+    return m_budgets.emplace(service, retry_budget(perRequest, limit, limit / 2)).first->second;
+}
+
 placement_context relay_requests::context(const relay_entry &entry) const
 {
     return {m_parts.fleet, m_parts.settings.dataCentre, m_parts.speeds, m_parts.clock.now(), entry.tried, entry.route->gapObjective};
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -159,8 +159,7 @@
 
 bool relay_requests::spendRetry(const relay_entry &entry)
 {
-    const auto found = m_budgets.find(entry.service);
-    if (found == m_budgets.end() || !found->second.spend()) {
+    if (!budgetOf(entry.service).spend()) {
         ++m_parts.metrics.retriesDenied;
         return false;
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -140,6 +140,7 @@
     void noteHold(const relay_entry &entry);
     void noteStart(duration time);
     void noteOutcome(const relay_entry &entry, bool good);
+    retry_budget &budgetOf(const service_name &service);
     bool spendRetry(const relay_entry &entry);
 
     // outcomes
