--- a/programs/entry.cpp
+++ b/programs/entry.cpp
@@ -11,17 +11,7 @@
 
 absl::Status serve(const std::string &file)
 {
-    auto settings = loadEntrySettings(file);
-    if (!settings.ok()) {
-        return settings.status();
-    }
-    boost::asio::io_context io(1); // one thread
-    entry_vm vm(io, std::move(*settings));
-    if (auto started = vm.start(); !started.ok()) {
-        return started;
-    }
-    io.run();
-    return absl::OkStatus();
+    return serveVm(file, loadEntrySettings, [](boost::asio::io_context &io, entry_settings &&settings) { return entry_vm(io, std::move(settings)); });
 }
 
 } // namespace
--- a/shell/program.hpp
+++ b/shell/program.hpp
@@ -4,8 +4,10 @@
 #include <exception>
 #include <iostream>
 #include <string>
+#include <utility>
 
 #include <absl/status/status.h>
+#include <boost/asio/io_context.hpp>
 #include <tclap/CmdLine.h>
 
 #include "version.hpp"
@@ -15,6 +17,23 @@
 inline constexpr int exitFailed = 1;
 inline constexpr int exitInvalidSettings = 2;
 
+// loads the settings and runs one VM on one thread until it has stopped; make(io, settings) returns the VM
+template<class Load, class Make>
+absl::Status serveVm(const std::string &file, Load load, Make make)
+{
+    auto settings = load(file);
+    if (!settings.ok()) {
+        return settings.status();
+    }
+    boost::asio::io_context io(1); // one thread
+    auto vm = make(io, std::move(*settings));
+    if (auto started = vm.start(); !started.ok()) {
+        return started;
+    }
+    io.run();
+    return absl::OkStatus();
+}
+
 // serve(file) runs until the program has stopped; an error is one of the settings
 template<class Serve>
 int runProgram(const std::string &name, const std::string &description, int argc, char **argv, Serve serve)
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -85,9 +85,6 @@
                                                                               : "leaving")
                       + " directory=" + std::to_string(read.position));
     }
-    if (!changed.empty()) {
-        requests.placeWaiting();
-    }
 }
 
 void relay_core::state::on(const directory_reachable &change)
@@ -113,7 +110,6 @@
     }
     parts.limiter.onBeat(beat, arrival.resumed, now);
     parts.endpoints.onSwitching(beat.switching, now);
-    requests.placeWaiting();
 }
 
 void relay_core::state::on(const members_read &read)
@@ -213,7 +209,7 @@
 void relay_core::handle(relay_input message)
 {
     std::visit([this](auto &&each) { m_state->on(std::forward<decltype(each)>(each)); }, std::move(message));
-    // an ended attempt has freed a place
+    // an ended attempt has freed a place, or the directory or a beat has changed what is known of places
     if (m_state->requests.waiting() > 0) {
         m_state->requests.placeWaiting();
     }
--- /dev/null
+++ b/test/platform_fuzz_test.cpp
@@ -0,0 +1,240 @@
+// seeded mutations of the platform's bytes through the adapter, and of what it accepts through the relay core
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <limits>
+#include <random>
+
+#include "beat_codec.hpp"
+#include "http_dialect.hpp"
+#include "relay_fixture.hpp"
+#include "store_codec.hpp"
+
+using namespace plantainpoint;
+using namespace plantainpoint::platform;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(platform_fuzz)
+
+namespace {
+
+constexpr int runs = 20000; // per case; two seconds in all, so that CI can afford it
+
+const std::string configuration = R"({"version":7,"routes":[
+ {"name":"r1","host":"shop.example","path_prefix":"/draft/","kind":"streaming","timeout_ms":14000,"slo_ms":900,"priority":1,"service":"llm",
+  "attempts":2,"public":false,"sticky":true,"resumable":true,"gap_slo_ms":300},
+ {"name":"r2","host":"shop.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":1000,"slo_ms":100,"priority":2,
+  "split":[{"service":"desk","weight":90},{"service":"desk2","weight":10}],"attempts":1,"public":true},
+ {"name":"r3","host":"shop.example","path_prefix":"/lookup/","kind":"safe","timeout_ms":1000,"slo_ms":100,"priority":2,"service":"desk",
+  "attempts":3,"public":true}],
+ "services":[{"name":"llm","health_path":"/healthz","max_conns":150,"engine":{"slots":12,"kv_tokens":71518,"handle_ttl_s":0.5}},
+  {"name":"desk"},{"name":"desk2"}],
+ "limits":{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000},
+ "tenants":[{"name":"acme","api_keys":["k-acme","k2"],"priority":1,"unit":"tokens","plain_tokens":200,"rate_per_s":100.5,"burst":50}]})";
+
+const std::string worker = R"({"service":"desk","addr":"10.0.0.9:8080","zone":"z-a","version":"v1","slots":12,"state":"ready","cold_left_ms":0,)"
+                           R"("stage":"decode","models":[{"name":"m"}],"seq":4,"born":1767225600000})";
+
+class mutator
+{
+public:
+    explicit mutator(std::uint32_t seed)
+        : m_random(seed)
+    {
+    }
+
+    std::string operator()(std::string bytes)
+    {
+        for (std::size_t changes = 1 + below(4); changes > 0; --changes) {
+            change(bytes);
+        }
+        return bytes;
+    }
+
+    std::size_t below(std::size_t limit) { return limit == 0 ? 0 : std::uniform_int_distribution<std::size_t>(0, limit - 1)(m_random); }
+
+private:
+    void change(std::string &bytes)
+    {
+        static constexpr std::array tokens{
+            "-1", "0", "1e308", "-1e308", "99999999999999999999", "9223372036854775807", "null", "\"\"", "[]", "{}", "true", "0.0001"};
+        const auto at = below(bytes.size() + 1);
+        switch (below(5)) {
+        case 0:
+            if (at < bytes.size()) {
+                bytes[at] = static_cast<char>(below(256));
+            }
+            break;
+        case 1:
+            bytes.erase(at, below(40));
+            break;
+        case 2:
+            bytes.insert(at, bytes.substr(below(bytes.size() + 1), below(40)));
+            break;
+        case 3:
+            bytes.insert(at, 1 + below(8), static_cast<char>(below(256)));
+            break;
+        default:
+            replaceNumber(bytes, at, tokens[below(tokens.size())]);
+        }
+    }
+
+    // the next number from a position on becomes another value, so that the text stays well-formed
+    static void replaceNumber(std::string &bytes, std::size_t from, const char *value)
+    {
+        const auto begin = bytes.find_first_of("0123456789", from);
+        if (begin != std::string::npos) {
+            bytes.replace(begin, bytes.find_first_not_of("0123456789.", begin) - begin, value);
+        }
+    }
+
+    std::mt19937 m_random;
+};
+
+std::string bigEndian(std::uint64_t value, int bytes)
+{
+    std::string text;
+    for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+        text.push_back(static_cast<char>(value >> shift));
+    }
+    return text;
+}
+
+// a page of two records, one of them a dropped key
+std::string logPage()
+{
+    return bigEndian(9, 8) + bigEndian(3, 8) + encodeKeyedRecord("w-1", worker) + encodeKeyedRecord("w-2", "");
+}
+
+const std::string newestPage = R"({"end":9,"has_more":true,"items":[{"key":"w-1","value":"eyJhIjoxfQ=="},{"key":"w-2","value":""}]})";
+
+void serveWith(test::relay_fixture &relay)
+{
+    for (const auto *target : {"/draft/1", "/book/1", "/lookup/1", "/other"}) {
+        relay.send(target, "k-acme", 500ms, token_count{1000, 100, {}});
+        relay.send(target, "", 500ms, std::nullopt);
+    }
+    for (int ticks = 0; ticks < 20; ++ticks) {
+        relay.clock.advance(100ms);
+        relay.core.tick();
+        relay.core.take();
+    }
+}
+
+} // namespace
+
+// guards against a configuration that passes the adapter and breaks the core
+BOOST_AUTO_TEST_CASE(mutatedConfigurations)
+{
+    int accepted = 0;
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
+        mutator mutate(seed);
+        const auto decoded = decodeConfiguration(mutate(configuration));
+        if (!decoded.ok()) {
+            BOOST_TEST(!decoded.status().message().empty(), "seed " << seed);
+            continue;
+        }
+        ++accepted;
+        test::relay_fixture relay;
+        relay.announce({test::endpointNamed("desk-1", "desk"), test::endpointNamed("dec-1", "llm", endpoint_role::Decode)});
+        relay.configure(*decoded);
+        serveWith(relay);
+    }
+    BOOST_TEST(accepted > runs / 50); // mutations that are all refused test nothing
+}
+
+// guards against an entry of a worker that passes the adapter and breaks the core
+BOOST_AUTO_TEST_CASE(mutatedWorkers)
+{
+    int accepted = 0;
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
+        mutator mutate(seed);
+        const auto decoded = decodeEndpoint("w-1", mutate(worker));
+        if (!decoded) {
+            continue;
+        }
+        ++accepted;
+        test::relay_fixture relay;
+        relay.configure(test::sampleRelayConfig());
+        relay.announce({*decoded, test::endpointNamed("desk-2", "desk")});
+        serveWith(relay);
+    }
+    BOOST_TEST(accepted > runs / 50);
+}
+
+// guards against lengths in a page that reach beyond its bytes
+BOOST_AUTO_TEST_CASE(mutatedPages)
+{
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
+        mutator mutate(seed);
+        const auto bytes = mutate(logPage());
+        std::size_t read = 0;
+        if (const auto page = decodeLogPage(bytes); page.ok()) {
+            for (const auto &record : page->records) {
+                read += record.key.size() + (record.value ? record.value->size() : 0);
+            }
+        }
+        BOOST_TEST(read <= bytes.size(), "log page, seed " << seed);
+        read = 0;
+        const auto text = mutate(newestPage);
+        if (const auto page = decodeNewestPage(text); page.ok()) {
+            for (const auto &record : page->records) {
+                read += record.key.size() + (record.value ? record.value->size() : 0);
+            }
+        }
+        BOOST_TEST(read <= text.size(), "newest page, seed " << seed);
+        (void)decodeMember(mutate(encodeMember("10.0.0.1:7000")));
+        (void)decodeAppendedOffset(mutate(R"({"offset":7})"));
+        (void)decodeFirstOffset(mutate(R"({"first":7})"));
+    }
+}
+
+// guards against a beat of a broken or foreign sender that breaks the core
+BOOST_AUTO_TEST_CASE(mutatedBeats)
+{
+    const fleet_beat beat{.from = {{"vm-2"}, 3},
+                          .sequence = 4,
+                          .address = "127.0.0.1:7001",
+                          .configVersion = 1,
+                          .directoryPosition = 2,
+                          .loads = {{{"desk-1"}, {}}},
+                          .usage = {}};
+    int accepted = 0;
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
+        mutator mutate(seed);
+        const auto decoded = decodeBeat(mutate(encodeBeat(beat)));
+        if (!decoded.ok()) {
+            continue;
+        }
+        ++accepted;
+        test::relay_fixture relay;
+        relay.serveDesks();
+        relay.core.handle(*decoded);
+        serveWith(relay);
+    }
+    BOOST_TEST(accepted > runs / 50);
+}
+
+// guards against bytes of a caller's headers that end the header of the call to a worker, or stand for the router's own
+BOOST_AUTO_TEST_CASE(mutatedHeaders)
+{
+    static constexpr std::array names{"X-Deadline-Ms", "X-Token-Count", "X-Length-Hint", "X-Tenant", "X-Stage", "x-kv-source", "X-Other", "Host", "Connection"};
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
+        mutator mutate(seed);
+        caller_request request;
+        request.method = "POST";
+        request.path = "/s/1";
+        for (const auto *name : names) {
+            request.headers.push_back({mutate.below(8) == 0 ? mutate(name) : name, mutate("1460,80")});
+        }
+        const auto decoded = decodeRequest(request);
+        BOOST_TEST((decoded.patience >= 0ms), "seed " << seed);
+        BOOST_TEST((!decoded.tokens || (decoded.tokens->prompt >= 0 && decoded.tokens->output >= 0)), "seed " << seed);
+        for (const auto &[name, value] : decoded.payload->headers) {
+            BOOST_TEST(!boost::beast::iequals(name, "X-Tenant"), "seed " << seed);
+            BOOST_TEST(!boost::beast::iequals(name, "X-Stage"), "seed " << seed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
