Keep the decoded batch alive in the fixture of the core tests

Cause: core_fixture::recorded() iterated over the value of a temporary StatusOr; the vector was destroyed before the loop. Found by a build with -fsanitize=address,undefined (stack-use-after-scope in core_booking/repeatedKeyGetsTheRecordedOutcome). No other loop of this form (git grep).

--- a/test/core_fixture.hpp
+++ b/test/core_fixture.hpp
@@ -148,7 +148,8 @@
     {
         std::vector<Record> found;
         for (const auto &entry : entries) {
-            for (const auto &record : decodeBatch(entry).value()) {
+            const auto batch = decodeBatch(entry);
+            for (const auto &record : batch.value()) {
                 if (const auto *const match = std::get_if<Record>(&record.body)) {
                     found.push_back(*match);
                 }
