Try: keep an overdue prefill while no other place is free

Tests slowPrefillIsKeptWhenNoOtherPlaceIsFree, slowPrefillIsReplacedOnceAPlaceIsFree and silentPrefillIsGivenUpInTime, the first two failing before.

--- a/test/relay_core_test.cpp
+++ b/test/relay_core_test.cpp
@@ -327,6 +327,80 @@
     BOOST_TEST(dispatches.size() == 1);
 }
 
+// guards against a prefill that is thrown away, and a late refusal, because it is slow while no other place is free
+BOOST_AUTO_TEST_CASE(slowPrefillIsKeptWhenNoOtherPlaceIsFree)
+{
+    configure(sampleRelayConfig());
+    announce({endpointNamed("pre-1", "llm", endpoint_role::Prefill), endpointNamed("dec-1", "llm", endpoint_role::Decode)});
+    core.take();
+    modelRequest("/draft/1", 5000);
+    core.handle(prefill_reply{dispatches[0].attempt, "h1"});
+    collect();
+    beginStream(dispatches[1]);
+    // the second place at dec-1 is reserved for the second request
+    modelRequest("/draft/2", 5000);
+    BOOST_REQUIRE_EQUAL(dispatches.size(), 3);
+    BOOST_TEST((dispatches[2].kind == dispatch_kind::Prefill));
+    for (int i = 0; i < 11; ++i) {
+        advance(milliseconds{100});
+        part(dispatches[1], "data: a\n\n");
+    }
+    BOOST_TEST(aborted.empty());
+    BOOST_TEST(failures.empty());
+    core.handle(prefill_reply{dispatches[2].attempt, "h2"});
+    collect();
+    BOOST_REQUIRE_EQUAL(dispatches.size(), 4);
+    BOOST_TEST((dispatches[3].kind == dispatch_kind::Decode));
+    BOOST_REQUIRE(dispatches[3].source.has_value());
+    BOOST_TEST(dispatches[3].source->handle == "h2");
+}
+
+// guards against a refusal that waits for the deadline because a prefill endpoint is silent
+BOOST_AUTO_TEST_CASE(silentPrefillIsGivenUpInTime)
+{
+    configure(sampleRelayConfig());
+    announce({endpointNamed("pre-1", "llm", endpoint_role::Prefill), endpointNamed("dec-1", "llm", endpoint_role::Decode)});
+    core.take();
+    modelRequest("/draft/1", 5000);
+    core.handle(prefill_reply{dispatches[0].attempt, "h1"});
+    collect();
+    beginStream(dispatches[1]);
+    send("/draft/2", "k-acme", std::chrono::seconds{60}, token_count{5000, 100, {}});
+    const auto begin = clock.now();
+    while (failures.empty() && clock.now() < begin + std::chrono::seconds{30}) {
+        advance(milliseconds{100});
+        part(dispatches[1], "data: a\n\n");
+    }
+    BOOST_REQUIRE_EQUAL(failures.size(), 1);
+    BOOST_TEST((failures[0].result == outcome::NotRun));
+    // the route's time is 2 s
+    BOOST_TEST((clock.now() - begin < milliseconds{1900}));
+}
+
+// guards against a request that stays with a silent prefill endpoint after a place has become free
+BOOST_AUTO_TEST_CASE(slowPrefillIsReplacedOnceAPlaceIsFree)
+{
+    configure(sampleRelayConfig());
+    announce({endpointNamed("pre-1", "llm", endpoint_role::Prefill), endpointNamed("dec-1", "llm", endpoint_role::Decode)});
+    core.take();
+    modelRequest("/draft/1", 5000);
+    core.handle(prefill_reply{dispatches[0].attempt, "h1"});
+    collect();
+    beginStream(dispatches[1]);
+    modelRequest("/draft/2", 5000);
+    for (int i = 0; i < 11; ++i) {
+        advance(milliseconds{100});
+    }
+    BOOST_TEST(aborted.empty());
+    end(dispatches[1], reply_end::Complete);
+    advance(milliseconds{100});
+    advance(milliseconds{100});
+    BOOST_TEST((aborted.back() == dispatches[2].attempt));
+    BOOST_REQUIRE_EQUAL(dispatches.size(), 4);
+    BOOST_TEST((dispatches[3].kind == dispatch_kind::Decode));
+    BOOST_TEST(!dispatches[3].source.has_value());
+}
+
 // guards against a stream that goes on elsewhere although it may run only once
 BOOST_AUTO_TEST_CASE(brokenStreamEndsVisibly)
 {
