--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -301,13 +301,6 @@
     return std::min(entry.deadline, (entry.headSent ? entry.lastPartAt : entry.arrivedAt) + gap);
 }
 
-// the instant at which a request without a place is refused
-time_point relay_requests::waitEnd(const relay_entry &entry) const
-{
-    const auto begin = entry.headSent ? entry.lastPartAt : entry.arrivedAt;
-    return begin + std::chrono::duration_cast<duration>((patienceEnd(entry) - begin) * longestWaitPart);
-}
-
 std::size_t relay_requests::waiting() const
 {
     std::size_t count = 0;
@@ -350,7 +343,8 @@
 {
     auto at = entry.deadline;
     if (entry.machine.stage() == relay_stage::Waiting) {
-        at = std::min(at, waitEnd(entry));
+        const auto begin = entry.headSent ? entry.lastPartAt : entry.arrivedAt;
+        at = std::min(at, begin + std::chrono::duration_cast<duration>((patienceEnd(entry) - begin) * longestWaitPart));
     }
     if (entry.attempt && entry.attempt->moveOnAt) {
         at = std::min(at, *entry.attempt->moveOnAt);
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -179,17 +179,17 @@
     closeAttempt(*entry);
     entry->source = prefill_source{address, std::move(reply.handle)};
     entry->prefilledAt = m_parts.clock.now();
-    auto *const decode = entry->reserved ? m_parts.endpoints.find(entry->reservedAt) : nullptr;
+    auto *const decode = m_parts.endpoints.find(entry->reservedAt);
     if (decode != nullptr && decode->takesWork(m_parts.clock.now())) {
         sendDecode(*entry, *decode);
         schedule(*entry);
         return;
     }
-    placeAfterPrefill(*entry);
+    onPrefillFailed(*entry);
 }
 
-// with a prefill result at any decode endpoint, without one at an endpoint that reads the prompt itself
-void relay_requests::placeAfterPrefill(relay_entry &entry)
+// without a prefill result the decode endpoint reads the prompt itself
+void relay_requests::onPrefillFailed(relay_entry &entry)
 {
     releaseReservation(entry);
     entry.machine.apply(relay_event::place_wanted{});
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -11,7 +11,6 @@
 
 constexpr duration fullTime = milliseconds{40}; // an endpoint that refused work frees a slot in about this time
 constexpr std::int32_t extraDispatches = 2; // after refusals that ran nothing
-constexpr duration overdueCheck = milliseconds{100}; // a slow prefill is looked at again; streams free their places at about this rate
 constexpr int firstServerError = 500;
 
 std::string tokensText(const relay_entry &entry)
@@ -49,7 +48,7 @@
         // an answer without a result, whatever its status
         noteOutcome(*entry, false);
         closeAttempt(*entry);
-        placeAfterPrefill(*entry);
+        onPrefillFailed(*entry);
         return;
     }
     if (!reply.genuine) {
@@ -102,7 +101,7 @@
     if (entry->attempt->kind == dispatch_kind::Prefill) {
         noteOutcome(*entry, false);
         closeAttempt(*entry);
-        placeAfterPrefill(*entry);
+        onPrefillFailed(*entry);
     } else if (end.end == reply_end::NotSent) {
         noteOutcome(*entry, false);
         onNotRun(*entry, nullptr);
@@ -127,7 +126,7 @@
     logNotRun(entry, reply);
     closeAttempt(entry);
     if (prefill) {
-        placeAfterPrefill(entry);
+        onPrefillFailed(entry);
         return;
     }
     --entry.runs;
@@ -249,14 +248,6 @@
     const auto number = entry.attempt->number;
     const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
     entry.attempt->moveOnAt.reset();
-    const auto now = m_parts.clock.now();
-    if (prefill && now < waitEnd(entry) && !canReadElsewhere(entry)) {
-        // a result that comes still finds a place, or waits for one
-        releaseReservation(entry);
-        entry.attempt->moveOnAt = std::min(now + overdueCheck, waitEnd(entry));
-        schedule(entry);
-        return;
-    }
     if (!prefill && !(entry.runs < entry.route->attempts && canPlaceElsewhere(entry) && spendRetry(entry))) {
         schedule(entry);
         return;
@@ -267,7 +258,7 @@
     m_parts.out.push_back(relay_abort{number});
     closeAttempt(entry);
     if (prefill) {
-        placeAfterPrefill(entry);
+        onPrefillFailed(entry);
     } else if (!tryAgain(entry)) {
         wait(entry);
     }
@@ -286,19 +277,6 @@
     return chooseModel({}, decodes, *entry.table->service(entry.service)->engine, *entry.request.tokens, elsewhere).has_value();
 }
 
-// whether a decode endpoint could read the prompt itself; the place that is reserved for the request may serve it
-bool relay_requests::canReadElsewhere(const relay_entry &entry)
-{
-    auto *const reserved = entry.reserved ? m_parts.endpoints.find(entry.reservedAt) : nullptr;
-    if (reserved == nullptr) {
-        return canPlaceElsewhere(entry);
-    }
-    auto place = reserved->open.extract(*entry.reserved);
-    const bool possible = canPlaceElsewhere(entry);
-    reserved->open.insert(std::move(place));
-    return possible;
-}
-
 // the caller has its final answer or is gone
 void relay_requests::finish(relay_entry &entry, std::string_view result, int status)
 {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -124,7 +124,6 @@
     void wait(relay_entry &entry);
     bool isLate(const relay_entry &entry) const;
     time_point patienceEnd(const relay_entry &entry) const;
-    time_point waitEnd(const relay_entry &entry) const;
     void leaveQueue(const relay_entry &entry);
     placement_context context(const relay_entry &entry) const;
 
@@ -148,11 +147,10 @@
     void onNotRun(relay_entry &entry, const relay_reply *reply);
     void logNotRun(const relay_entry &entry, const relay_reply *reply) const;
     void onLost(relay_entry &entry, reply_end end);
-    void placeAfterPrefill(relay_entry &entry);
+    void onPrefillFailed(relay_entry &entry);
     bool tryAgain(relay_entry &entry);
     void moveOn(relay_entry &entry);
     bool canPlaceElsewhere(const relay_entry &entry);
-    bool canReadElsewhere(const relay_entry &entry);
     // answers with a failure; one that claims not run is corrected when an attempt may have run
     void giveUp(relay_entry &entry, failure reason, outcome result, std::string_view detail);
     void passOn(relay_entry &entry, relay_reply reply);
