Explain a request from the logs of several VMs by the caller's id

Cause: on the platform an engineer has the caller's id and the logs of several VMs; plantainpoint-ctl explain took a label and one admin port only.

Lines that are no JSON are counted. test/log_story_test.cpp.

--- a/programs/ctl.cpp
+++ b/programs/ctl.cpp
@@ -1,4 +1,5 @@
-// shows what an entry VM knows; changes nothing
+// shows what an entry VM knows, or what the logs of VMs say about a request; changes nothing
+#include <fstream>
 #include <iostream>
 
 #include <nlohmann/json.hpp>
@@ -6,6 +7,7 @@
 
 #include "address.hpp"
 #include "log_session.hpp"
+#include "log_story.hpp"
 #include "plantainpoint/failure.hpp"
 #include "plantainpoint/ids.hpp"
 #include "text_table.hpp"
@@ -65,6 +67,38 @@
     return 0;
 }
 
+int explainFromLogs(const std::string &requestId, const std::vector<std::string> &files, bool json)
+{
+    log_story story(requestId);
+    for (const auto &file : files) {
+        std::ifstream in(file);
+        if (!in) {
+            std::cerr << "plantainpoint-ctl: cannot read " << file << '\n';
+            return exitFailed;
+        }
+        story.read(in, file);
+    }
+    if (story.skipped() > 0) {
+        std::cerr << "plantainpoint-ctl: " << story.skipped() << " lines are no log lines\n";
+    }
+    const auto lines = story.lines();
+    if (lines.empty()) {
+        std::cerr << "plantainpoint-ctl: no line names request " << requestId << '\n';
+        return exitFailed;
+    }
+    auto all = nlohmann::json::array();
+    for (const auto &line : lines) {
+        all.push_back({{"time", line.time}, {"vm", line.vm}, {"part", line.part}, {"text", line.text}});
+        if (!json) {
+            std::cout << line.time << ' ' << line.vm << ' ' << line.part << ": " << line.text << '\n';
+        }
+    }
+    if (json) {
+        std::cout << all.dump(2) << '\n';
+    }
+    return 0;
+}
+
 int run(const std::string &admin, const std::string &command, const std::string &label, bool json)
 {
     if (command == "status") {
@@ -90,13 +124,21 @@
 {
     try {
         TCLAP::CmdLine line("shows what an entry VM knows; operators change the system by publishing", ' ', std::string(version()));
-        const TCLAP::ValueArg<std::string> admin("", "admin", "admin port of an entry VM", true, "", "IP:PORT", line);
+        const TCLAP::ValueArg<std::string> admin("", "admin", "admin port of an entry VM; needed without --logs", false, "", "IP:PORT", line);
+        const TCLAP::MultiArg<std::string> logs("", "logs", "log of a VM, with explain and the caller's id of a request", false, "FILE", line);
         TCLAP::SwitchArg json("", "json", "print JSON", line);
         std::vector<std::string> commands{"status", "fleet", "audit", "explain"};
         TCLAP::ValuesConstraint<std::string> allowed(commands);
         const TCLAP::UnlabeledValueArg<std::string> command("command", "status, fleet, audit or explain", true, "", &allowed, line);
-        const TCLAP::UnlabeledValueArg<std::string> label("request", "label of a request, with explain", false, "", "VM/INCARNATION/SEQUENCE", line);
+        const TCLAP::UnlabeledValueArg<std::string> label("request", "with explain: label of a request, or its id with --logs", false, "", "REQUEST", line);
         line.parse(argc, argv);
+        if (!logs.getValue().empty()) {
+            if (command.getValue() != "explain" || label.getValue().empty()) {
+                std::cerr << "plantainpoint-ctl: --logs needs explain and the id of a request\n";
+                return exitInvalidArguments;
+            }
+            return explainFromLogs(label.getValue(), logs.getValue(), json.getValue());
+        }
         return run(admin.getValue(), command.getValue(), label.getValue(), json.getValue());
     } catch (const std::exception &error) {
         std::cerr << "plantainpoint-ctl: " << error.what() << '\n';
--- /dev/null
+++ b/shell/log_story.cpp
@@ -0,0 +1,122 @@
+#include "log_story.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+namespace plantainpoint {
+
+namespace {
+
+// value of the first field NAME=VALUE of a text
+std::string fieldOf(const std::string &text, const std::string &name)
+{
+    const auto key = name + '=';
+    auto at = text.find(key);
+    while (at != std::string::npos && at > 0 && text[at - 1] != ' ') {
+        at = text.find(key, at + 1);
+    }
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + key.size();
+    return text.substr(begin, text.find(' ', begin) - begin);
+}
+
+// the belief that a line changes; empty for a line about a request
+std::string subjectOf(const std::string &text)
+{
+    if (text.starts_with("configuration ")) {
+        return "configuration";
+    }
+    if (text.starts_with("the directory ")) {
+        return "directory";
+    }
+    for (const auto *kind : {"endpoint", "vm"}) {
+        if (text.starts_with(std::string(kind) + '=')) {
+            return std::string(kind) + '=' + fieldOf(text, kind);
+        }
+    }
+    return {};
+}
+
+// lines of one VM, in the order in which it wrote them
+std::vector<story_line> storyOf(const std::vector<const story_line *> &lines, const std::string &request)
+{
+    const auto isOfRequest = [&](const story_line *line) { return fieldOf(line->text, "request") == request; };
+    const auto first = std::find_if(lines.begin(), lines.end(), isOfRequest);
+    if (first == lines.end()) {
+        return {};
+    }
+    const auto last = std::find_if(lines.rbegin(), lines.rend(), isOfRequest).base();
+    std::set<std::string> endpoints;
+    for (auto at = first; at != last; ++at) {
+        if (isOfRequest(*at)) {
+            endpoints.insert("endpoint=" + fieldOf((*at)->text, "endpoint"));
+        }
+    }
+    const auto matters = [&](const std::string &subject) { return !subject.empty() && (!subject.starts_with("endpoint=") || endpoints.contains(subject)); };
+    std::map<std::string, const story_line *> before;
+    for (auto at = lines.begin(); at != first; ++at) {
+        const auto subject = subjectOf((*at)->text);
+        if (matters(subject)) {
+            before[subject] = *at;
+        }
+    }
+    std::vector<story_line> story;
+    for (const auto &[subject, line] : before) {
+        story.push_back(*line);
+    }
+    for (auto at = first; at != last; ++at) {
+        if (isOfRequest(*at) || matters(subjectOf((*at)->text))) {
+            story.push_back(**at);
+        }
+    }
+    return story;
+}
+
+} // namespace
+
+log_story::log_story(std::string requestId)
+    : m_request(std::move(requestId))
+{
+}
+
+void log_story::read(std::istream &in, const std::string &source)
+{
+    std::string line;
+    while (std::getline(in, line)) {
+        const auto brace = std::min(line.find('{'), line.size());
+        const auto parsed = nlohmann::json::parse(line.begin() + static_cast<std::ptrdiff_t>(brace), line.end(), nullptr, false);
+        const auto textOf = [&](const char *name) {
+            return parsed.is_object() && parsed.contains(name) && parsed[name].is_string() ? parsed[name].get<std::string>() : std::string{};
+        };
+        if (textOf("time").empty() || textOf("text").empty()) {
+            ++m_skipped;
+            continue;
+        }
+        const auto end = line.find_last_not_of(' ', brace == 0 ? 0 : brace - 1);
+        const auto begin = brace == 0 || end == std::string::npos ? std::string::npos : line.find_last_of(' ', end);
+        const auto vm = brace == 0 ? source : line.substr(begin + 1, end - begin);
+        m_all.push_back({textOf("time"), vm, textOf("part"), textOf("text")});
+    }
+}
+
+std::vector<story_line> log_story::lines() const
+{
+    std::map<std::string, std::vector<const story_line *>> byVm;
+    for (const auto &line : m_all) {
+        byVm[line.vm].push_back(&line);
+    }
+    std::vector<story_line> story;
+    for (const auto &[vm, lines] : byVm) {
+        const auto part = storyOf(lines, m_request);
+        story.insert(story.end(), part.begin(), part.end());
+    }
+    std::stable_sort(story.begin(), story.end(), [](const auto &a, const auto &b) { return a.time < b.time; });
+    return story;
+}
+
+} // namespace plantainpoint
--- /dev/null
+++ b/test/log_story_test.cpp
@@ -0,0 +1,74 @@
+// one request's story from the logs of several VMs
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+#include "log_story.hpp"
+
+using namespace plantainpoint;
+
+namespace {
+
+std::string line(const std::string &second, const std::string &text)
+{
+    return R"({"time":"2026-09-05T06:00:)" + second + R"(.000","level":"INFO","part":"place","text":")" + text + "\"}\n";
+}
+
+std::vector<std::string> textsOf(const log_story &story)
+{
+    std::vector<std::string> texts;
+    for (const auto &each : story.lines()) {
+        texts.push_back(each.vm + ": " + each.text);
+    }
+    return texts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(log_stories)
+
+// guards against a story without the configuration and endpoint state that decided it, or with those of other requests
+BOOST_AUTO_TEST_CASE(linesOfOneRequestWithWhatTheVmBelieved)
+{
+    std::istringstream log(line("01", "configuration applied version=1 before=0") + line("02", "configuration applied version=2 before=1")
+                           + line("03", "endpoint=i-1 service=desk state=ready") + line("03", "endpoint=i-2 service=desk state=ready")
+                           + line("04", "request=other waits service=desk") + line("05", "request=id-1 waits service=desk")
+                           + line("06", "the directory does not answer") + line("07", "request=id-1 attempt overdue endpoint=i-1")
+                           + line("08", "request=id-1 result=overloaded status=503 endpoint=i-1") + line("09", "configuration applied version=3 before=2"));
+    log_story story("id-1");
+    story.read(log, "vm-a");
+    const std::vector<std::string> expected{"vm-a: configuration applied version=2 before=1",
+                                            "vm-a: endpoint=i-1 service=desk state=ready",
+                                            "vm-a: request=id-1 waits service=desk",
+                                            "vm-a: the directory does not answer",
+                                            "vm-a: request=id-1 attempt overdue endpoint=i-1",
+                                            "vm-a: request=id-1 result=overloaded status=503 endpoint=i-1"};
+    const auto texts = textsOf(story);
+    BOOST_TEST(texts == expected, boost::test_tools::per_element());
+}
+
+// guards against attempts of a caller at two VMs that are told one after the other instead of in order
+BOOST_AUTO_TEST_CASE(severalVmsAreMergedByTime)
+{
+    std::istringstream first(line("03", "request=id-1 waits service=desk") + line("07", "request=id-1 result=overloaded status=503"));
+    std::istringstream second("  5.0 vm-b " + line("05", "request=id-1 waits service=desk"));
+    log_story story("id-1");
+    story.read(first, "vm-a");
+    story.read(second, "all.log");
+    const std::vector<std::string> expected{
+        "vm-a: request=id-1 waits service=desk", "vm-b: request=id-1 waits service=desk", "vm-a: request=id-1 result=overloaded status=503"};
+    const auto texts = textsOf(story);
+    BOOST_TEST(texts == expected, boost::test_tools::per_element());
+}
+
+// guards against an id that is the beginning of another one, and against lines that end the reading
+BOOST_AUTO_TEST_CASE(otherIdsAndBrokenLinesAreLeftOut)
+{
+    std::istringstream log("no JSON\n{\"time\":1}\n{\"time\":\"1\n\n" + line("01", "request=id-12 waits") + line("02", "prerequest=id-1 waits"));
+    log_story story("id-1");
+    story.read(log, "vm-a");
+    BOOST_TEST(story.lines().empty());
+    BOOST_TEST(story.skipped() == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
