--- a/shell/log_story.cpp
+++ b/shell/log_story.cpp
@@ -31,6 +31,9 @@
     if (text.starts_with("configuration ")) {
         return "configuration";
     }
+    if (text.starts_with("Started ")) {
+        return "process";
+    }
     if (text.starts_with("the directory ")) {
         return "directory";
     }
@@ -61,6 +64,9 @@
     std::map<std::string, const story_line *> before;
     for (auto at = lines.begin(); at != first; ++at) {
         const auto subject = subjectOf((*at)->text);
+        if (subject == "process") {
+            before.clear(); // a new process knows nothing of its predecessor's beliefs
+        }
         if (matters(subject)) {
             before[subject] = *at;
         }
--- a/test/log_story_test.cpp
+++ b/test/log_story_test.cpp
@@ -61,6 +61,18 @@
     BOOST_TEST(texts == expected, boost::test_tools::per_element());
 }
 
+// guards against beliefs of a process that has ended
+BOOST_AUTO_TEST_CASE(aRestartForgetsWhatWasBelieved)
+{
+    std::istringstream log(line("01", "configuration applied version=1 before=0") + line("02", "Started vm=vm-a listen=10.0.0.1:1.")
+                           + line("03", "request=id-1 refused reason=stale_configuration"));
+    log_story story("id-1");
+    story.read(log, "vm-a");
+    const std::vector<std::string> expected{"vm-a: Started vm=vm-a listen=10.0.0.1:1.", "vm-a: request=id-1 refused reason=stale_configuration"};
+    const auto texts = textsOf(story);
+    BOOST_TEST(texts == expected, boost::test_tools::per_element());
+}
+
 // guards against an id that is the beginning of another one, and against lines that end the reading
 BOOST_AUTO_TEST_CASE(otherIdsAndBrokenLinesAreLeftOut)
 {
