Answer at once from a complete home while a drop is unsettled

Cause, found in the reading of the diff: for 500 ms after each epoch a home kept every request that it could not serve, also when it knew all holdings and only the units of a dead VM were missing.

Change: a request is kept only while reports are missing or the account's home is new. completeHomeAnswersWhileADropIsUnsettled failed before.

--- a/src/dispatcher_tick.cpp
+++ b/src/dispatcher_tick.cpp
@@ -156,7 +156,8 @@
     }
     const auto since = m_parts.clock.now() - m_leavingSince;
     const bool settled = m_parts.follow.pendingAppends() == 0 && m_parts.cancels.size() == 0;
-    const bool handedOver = since >= longestHandover || !m_parts.members.hasSuccessor() || (!m_parts.members.isMember() && m_parts.shares.handedOver());
+    const bool hasLeft = !m_parts.members.isMember() && m_parts.shares.handedOver();
+    const bool handedOver = hasLeft || !m_parts.members.hasSuccessor() || since >= longestHandover;
     const bool waited = settled && handedOver ? since >= shortestLeaving : since >= longestWaitForOutage;
     if (m_surrendered && m_parts.requests.size() == 0 && waited && m_parts.machine.apply(vm_event::idle{})) {
         m_parts.say(severity::Info, part::Core, "stopped");
--- a/src/share_epoch.hpp
+++ b/src/share_epoch.hpp
@@ -55,12 +55,13 @@
     m_epochAppliedAt = m_clock.now();
     m_handedOver.clear();
     m_dropsReclaimed = false;
-    auto handedOver = wasMember && !m_isMember && sequential ? slicesToHandOver() : std::vector<handed_slice>{};
+    const bool leaves = wasMember && !m_isMember && sequential;
+    auto given = leaves ? slicesToHandOver() : std::vector<handed_slice>{};
     for (auto &[name, account] : m_accounts) {
         crossEpoch(name, account, sequential);
     }
-    if (wasMember && !m_isMember && sequential) {
-        handOver(std::move(handedOver), out);
+    if (leaves) {
+        handOver(std::move(given), out);
     }
     if (m_isMember) {
         makeReports(out);
@@ -207,12 +208,9 @@
 template<class Rules>
 void basic_share_table<Rules>::serveAfterReports(outbox &out)
 {
-    if (takesOver()) {
-        return;
-    }
     for (const auto &name : m_active) {
         auto &account = m_accounts.at(name);
-        if (account.home != m_self || !account.recalled.empty()) {
+        if (account.home != m_self || !account.recalled.empty() || takesOver(account)) {
             continue;
         }
         for (const auto &request : std::exchange(account.pending, {})) {
@@ -225,11 +223,12 @@
     }
 }
 
-// for a short time after an epoch a home lacks the reports, and units that leaving VMs hand over are on their way
+// for a short time after an epoch reports are missing, and a new home lacks the units that leaving VMs hand over
 template<class Rules>
-bool basic_share_table<Rules>::takesOver() const
+bool basic_share_table<Rules>::takesOver(const share_account &account) const
 {
-    return m_isMember && !m_reclaimed && m_clock.now() - m_epochAppliedAt < share_timing::takeOverLimit;
+    const bool early = m_isMember && !m_reclaimed && m_clock.now() - m_epochAppliedAt < share_timing::takeOverLimit;
+    return early && (!account.complete || !everyMemberReported());
 }
 
 template<class Rules>
--- a/src/share_home.hpp
+++ b/src/share_home.hpp
@@ -87,7 +87,7 @@
     if (now < account.backoffUntil) {
         return false;
     }
-    if (takesOver()) {
+    if (takesOver(account)) {
         account.pending.push_back(request);
         account.recallDeadline = m_epochAppliedAt + share_timing::takeOverLimit;
         return true;
--- a/src/share_table.hpp
+++ b/src/share_table.hpp
@@ -114,7 +114,7 @@
     void sendReport(const incarnation_id &home, peer_body report, outbox &out);
     bool awaitsHandover() const;
     void serveAfterReports(outbox &out);
-    bool takesOver() const;
+    bool takesOver(const share_account &account) const;
 
     // share_home.hpp: granting and recalling
     void grant(const account_name &name, share_account &account, const incarnation_id &to, std::int64_t needed, outbox &out);
--- a/test/share_table_test.cpp
+++ b/test/share_table_test.cpp
@@ -236,6 +236,18 @@
     BOOST_TEST((joiner.admit(account, out).verdict == admission::Admitted));
 }
 
+// guards against callers that wait although the home knows every holding: only the units of a dead VM are missing
+BOOST_FIXTURE_TEST_CASE(completeHomeAnswersWhileADropIsUnsettled, pair_of_vms)
+{
+    admitAll(home());
+    const epoch_member dead{{vm_name{"c"}, 1}, data_centre_name{"dc"}, region_name{"r"}, ""};
+    apply({2, epoch.members, {epoch.members[0], epoch.members[1], dead}});
+    outbox out;
+    BOOST_TEST((home().admit(account, out).verdict == admission::Waiting));
+    deliver(a, outA, b, outB);
+    BOOST_TEST((home().admit(account, out).verdict == admission::Refused));
+}
+
 // guards against callers that wait for a report that does not come
 BOOST_FIXTURE_TEST_CASE(newHomeRefusesWhenTheReportsStayOut, pair_of_vms)
 {
