--- a/shell/log_story.cpp
+++ b/shell/log_story.cpp
@@ -1,6 +1,7 @@
 #include "log_story.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -72,9 +73,7 @@
         }
     }
     std::vector<story_line> story;
-    for (const auto &[subject, line] : before) {
-        story.push_back(*line);
-    }
+    std::transform(before.begin(), before.end(), std::back_inserter(story), [](const auto &item) { return *item.second; });
     for (auto at = first; at != last; ++at) {
         if (isOfRequest(*at) || matters(subjectOf((*at)->text))) {
             story.push_back(**at);
