--- /dev/null
+++ b/test/platform_bytes.hpp
@@ -0,0 +1,24 @@
+// bytes of the platform's store, written by the tests apart from the codec that they check
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace plantainpoint::test {
+
+inline std::string bigEndian(std::uint64_t value)
+{
+    std::string text;
+    for (int shift = 56; shift >= 0; shift -= 8) {
+        text.push_back(static_cast<char>(value >> shift));
+    }
+    return text;
+}
+
+// answer of a read of a keyed topic; records in the framing of an append
+inline std::string logPage(std::uint64_t end, std::uint64_t first, const std::string &records)
+{
+    return bigEndian(end) + bigEndian(first) + records;
+}
+
+} // namespace plantainpoint::test
--- a/test/platform_fuzz_test.cpp
+++ b/test/platform_fuzz_test.cpp
@@ -7,6 +7,7 @@
 
 #include "beat_codec.hpp"
 #include "http_dialect.hpp"
+#include "platform_bytes.hpp"
 #include "relay_fixture.hpp"
 #include "store_codec.hpp"
 
@@ -91,23 +92,23 @@
     std::mt19937 m_random;
 };
 
-std::string bigEndian(std::uint64_t value, int bytes)
-{
-    std::string text;
-    for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
-        text.push_back(static_cast<char>(value >> shift));
-    }
-    return text;
-}
+// two records, one of them a dropped key
+const std::string workersPage = test::logPage(9, 3, encodeKeyedRecord("w-1", worker) + encodeKeyedRecord("w-2", ""));
+const std::string newestPage = R"({"end":9,"has_more":true,"items":[{"key":"w-1","value":"eyJhIjoxfQ=="},{"key":"w-2","value":""}]})";
 
-// a page of two records, one of them a dropped key
-std::string logPage()
+// bytes of the keys and values of a page; none of a page that is refused
+template<class Page>
+std::size_t sizeOf(const absl::StatusOr<Page> &page)
 {
-    return bigEndian(9, 8) + bigEndian(3, 8) + encodeKeyedRecord("w-1", worker) + encodeKeyedRecord("w-2", "");
+    std::size_t size = 0;
+    if (page.ok()) {
+        for (const auto &record : page->records) {
+            size += record.key.size() + (record.value ? record.value->size() : 0);
+        }
+    }
+    return size;
 }
 
-const std::string newestPage = R"({"end":9,"has_more":true,"items":[{"key":"w-1","value":"eyJhIjoxfQ=="},{"key":"w-2","value":""}]})";
-
 void serveWith(test::relay_fixture &relay)
 {
     for (const auto *target : {"/draft/1", "/book/1", "/lookup/1", "/other"}) {
@@ -167,22 +168,10 @@
 {
     for (std::uint32_t seed = 1; seed <= runs; ++seed) {
         mutator mutate(seed);
-        const auto bytes = mutate(logPage());
-        std::size_t read = 0;
-        if (const auto page = decodeLogPage(bytes); page.ok()) {
-            for (const auto &record : page->records) {
-                read += record.key.size() + (record.value ? record.value->size() : 0);
-            }
-        }
-        BOOST_TEST(read <= bytes.size(), "log page, seed " << seed);
-        read = 0;
+        const auto bytes = mutate(workersPage);
+        BOOST_TEST(sizeOf(decodeLogPage(bytes)) <= bytes.size(), "log page, seed " << seed);
         const auto text = mutate(newestPage);
-        if (const auto page = decodeNewestPage(text); page.ok()) {
-            for (const auto &record : page->records) {
-                read += record.key.size() + (record.value ? record.value->size() : 0);
-            }
-        }
-        BOOST_TEST(read <= text.size(), "newest page, seed " << seed);
+        BOOST_TEST(sizeOf(decodeNewestPage(text)) <= text.size(), "newest page, seed " << seed);
         (void)decodeMember(mutate(encodeMember("10.0.0.1:7000")));
         (void)decodeAppendedOffset(mutate(R"({"offset":7})"));
         (void)decodeFirstOffset(mutate(R"({"first":7})"));
--- a/test/share_table_test.cpp
+++ b/test/share_table_test.cpp
@@ -97,7 +97,25 @@
         return admitted;
     }
 
-    const incarnation_id &idOf(const share_table &table) const { return epoch.members[&table == &a ? 0 : 1].id; }
+    const epoch_member &memberOf(const share_table &table) const { return epoch.members[&table == &a ? 0 : 1]; }
+    const incarnation_id &idOf(const share_table &table) const { return memberOf(table).id; }
+    outbox &outOf(const share_table &table) { return &table == &a ? outA : outB; }
+
+    // an epoch in which one VM is left
+    current_epoch onlyMember(const share_table &table, std::uint64_t number) const { return {number, {memberOf(table)}, epoch.members}; }
+
+    // the home leaves with epoch 2, and the other VM owns the limit
+    void homeLeaves()
+    {
+        auto &leaver = home();
+        apply(onlyMember(holder(), 2));
+        beat(leaver, 2);
+        deliver(a, outA, b, outB);
+        run(200ms);
+    }
+
+    // the VM that has left is back with epoch 3, as the home
+    void homeReturns() { apply({3, epoch.members, {memberOf(holder())}}); }
 
     // both VMs apply the epoch; what they send waits in outA and outB
     void apply(const current_epoch &next)
@@ -169,7 +187,7 @@
 {
     auto &leaver = home();
     auto &heir = holder();
-    apply({2, {epoch.members[&heir == &a ? 0 : 1]}, epoch.members});
+    apply(onlyMember(heir, 2));
     BOOST_TEST(admitAll(leaver) == 0);
     beat(leaver, 2);
     deliver(a, outA, b, outB);
@@ -184,14 +202,14 @@
 {
     auto &leaver = home();
     auto &heir = holder();
-    apply({2, {epoch.members[&heir == &a ? 0 : 1]}, epoch.members});
+    apply(onlyMember(heir, 2));
     beat(leaver, 2);
-    auto sent = (&leaver == &a ? outA : outB).take();
+    auto sent = outOf(leaver).take();
     BOOST_REQUIRE(!sent.empty());
     for (int copies = 0; copies < 2; ++copies) {
         for (const auto &item : sent) {
             if (const auto *const part = std::get_if<slice_handover>(&std::get<send_peer>(item).message.body)) {
-                heir.onPeer(idOf(leaver), *part, &heir == &a ? outA : outB);
+                heir.onPeer(idOf(leaver), *part, outOf(heir));
             }
         }
         if (copies == 0) {
@@ -206,7 +224,7 @@
 {
     auto &leaver = home();
     auto &heir = holder();
-    apply({3, {epoch.members[&heir == &a ? 0 : 1]}, epoch.members});
+    apply(onlyMember(heir, 3));
     beat(leaver, 3);
     deliver(a, outA, b, outB);
     run(200ms);
@@ -218,12 +236,8 @@
 {
     // the home drops out of epoch 2 and is back in epoch 3, where it has to learn what the other VM holds
     auto &joiner = home();
-    auto &former = holder();
-    apply({2, {epoch.members[&former == &a ? 0 : 1]}, epoch.members});
-    beat(joiner, 2);
-    deliver(a, outA, b, outB);
-    run(200ms);
-    apply({3, epoch.members, {epoch.members[&former == &a ? 0 : 1]}});
+    homeLeaves();
+    homeReturns();
     outbox out;
     BOOST_TEST((joiner.admit(account, out).verdict == admission::Waiting));
     deliver(a, outA, b, outB);
@@ -252,12 +266,8 @@
 BOOST_FIXTURE_TEST_CASE(newHomeRefusesWhenTheReportsStayOut, pair_of_vms)
 {
     auto &joiner = home();
-    auto &former = holder();
-    apply({2, {epoch.members[&former == &a ? 0 : 1]}, epoch.members});
-    beat(joiner, 2);
-    deliver(a, outA, b, outB);
-    run(200ms);
-    apply({3, epoch.members, {epoch.members[&former == &a ? 0 : 1]}});
+    homeLeaves();
+    homeReturns();
     lossy = true;
     outbox out;
     BOOST_TEST((joiner.admit(account, out).verdict == admission::Waiting));
--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
+#include "platform_bytes.hpp"
 #include "shell_support.hpp"
 #include "store_codec.hpp"
 #include "store_reader.hpp"
@@ -17,15 +18,6 @@
 
 namespace {
 
-std::string bigEndian(std::uint64_t value)
-{
-    std::string text;
-    for (int shift = 56; shift >= 0; shift -= 8) {
-        text.push_back(static_cast<char>(value >> shift));
-    }
-    return text;
-}
-
 std::string worker(const std::string &address)
 {
     return R"({"service":"desk","addr":")" + address + R"(","zone":"z-a","slots":2,"state":"ready","seq":4,"born":1767225600000})";
@@ -108,7 +100,6 @@
         positions.push_back(read->position);
     }
 
-    static std::string page(std::uint64_t end, const std::string &records) { return bigEndian(end) + bigEndian(0) + records; }
     static std::string newest(std::uint64_t end, const std::string &name, const std::string &value)
     {
         return nlohmann::json{{"end", end}, {"has_more", false}, {"items", {{{"key", name}, {"value", absl::Base64Escape(value)}}}}}.dump();
@@ -141,7 +132,7 @@
     auto *const late = requestFor(std::string(readWorkers) + "&part=0&from=1");
     BOOST_REQUIRE(late != nullptr);
     reader.importState(stateOf({{"w-1", worker("10.0.0.3:1")}}, 3));
-    answer(*late, page(2, encodeKeyedRecord("w-1", worker("10.0.0.2:1"))));
+    answer(*late, logPage(2, 0, encodeKeyedRecord("w-1", worker("10.0.0.2:1"))));
     BOOST_TEST(requestFor(std::string(readWorkers) + "&part=0&from=3") != nullptr);
     BOOST_TEST(addresses["w-1"] == "10.0.0.3:1");
 }
