--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -115,11 +115,22 @@
     std::vector<entry> changed;
     bool whole = false; // Endpoints that are missing from `changed` are withdrawn.
     std::uint64_t position = 0; // The reader has seen everything before this position.
+    bool imported = false; // Another VM has read it.
 };
 
-// Reports that the directory has not answered for a while, or that it answers again.
-struct directory_reachable {
-    bool reachable = true;
+// Result of a read_directory command.
+struct directory_read_finished {
+    bool succeeded = false; // Both the configuration and the endpoints were read up to their ends.
+};
+
+// What this VM holds of the directory, reported whenever it changes.
+struct directory_state {
+    std::uint64_t configPosition = 0; // Every configuration before this position is known.
+    std::size_t configSize = 0; // Bytes of the newest configuration.
+    std::uint64_t position = 0; // Every endpoint entry before this position is known.
+    std::uint64_t lastChange = 0; // Position after the last entry that changed an endpoint.
+    std::uint64_t changesFrom = 0; // `changes` holds every change since this position.
+    std::shared_ptr<const std::string> changes; // Encoded by the directory's reader. Null if there are none.
 };
 
 // Work of a VM at an endpoint.
@@ -140,26 +151,95 @@
     bool operator==(const account_usage &) const = default;
 };
 
-// Periodic message between VMs.
+// Requests of a service that wait for a place.
+struct waiting_count {
+    service_name service;
+    std::int32_t requests = 0;
+
+    bool operator==(const waiting_count &) const = default;
+};
+
+// A VM as it announces itself.
+struct fleet_member {
+    vm_name vm;
+    std::string address; // IP:PORT for heartbeats, summaries and state transfer.
+    data_centre_name dataCentre;
+    std::int64_t capacity = 0; // Thousandths of a processor core.
+
+    bool operator==(const fleet_member &) const = default;
+};
+
+// What a VM knows of the directory.
+struct directory_knowledge {
+    std::uint64_t configPosition = 0;
+    std::size_t configSize = 0; // Bytes.
+    std::uint64_t position = 0;
+    std::uint64_t lastChange = 0;
+    // Time since the VM, or a VM that it heard, began a read that reached the ends of configuration and endpoints. Empty without such a read.
+    std::optional<duration> proofAge;
+    duration reannounceLeft{}; // Endpoints whose entries lapsed in an outage are still expected back for this time.
+};
+
+// Message of a VM to the hubs of its data centre. It carries everything that the VM adds to the state of the fleet.
 struct fleet_heartbeat {
     incarnation_id from;
     std::uint64_t sequence = 0;
-    std::string address; // IP:PORT for heartbeats and state transfer.
-    std::uint64_t configVersion = 0;
-    std::uint64_t directoryPosition = 0;
+    std::string address;
+    data_centre_name dataCentre;
+    std::int64_t capacity = 0;
     bool leaving = false;
+    vm_name follows; // Hub whose totals the VM uses. It is empty at a hub.
+    directory_knowledge knowledge;
     std::vector<endpoint_load> loads;
+    std::vector<waiting_count> waiting;
     std::vector<endpoint_name> changingRole; // Endpoints that were ordered to change their role.
     std::vector<account_usage> usage;
+
+    fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
+};
+
+enum class summary_scope : std::uint8_t {
+    Brief, // No totals.
+    DataCentre, // Totals of the hub's data centre, for the hubs of the others.
+    Fleet, // Totals of all VMs, for the VMs that follow the hub.
+};
+
+constexpr std::string_view nameOf(summary_scope value)
+{
+    constexpr std::string_view names[]{"brief", "data_centre", "fleet"};
+    return names[static_cast<std::size_t>(value)];
+}
+
+// Message of a hub: what the hub knows of the directory, and the totals of the VMs that it hears.
+struct fleet_summary {
+    incarnation_id from;
+    std::uint64_t sequence = 0;
+    std::string address;
+    data_centre_name dataCentre;
+    std::int64_t capacity = 0;
+    summary_scope scope = summary_scope::Brief;
+    bool leaving = false;
+    bool settled = false; // The hub has been one for long enough to have heard its VMs.
+    directory_knowledge knowledge;
+    std::uint64_t changesFrom = 0;
+    std::shared_ptr<const std::string> changes; // Recent changes of endpoints, as in directory_state.
+    std::int32_t heardVms = 0;
+    std::int32_t memberVms = 0;
+    std::vector<fleet_member> candidates; // VMs of the hub's data centre that take over when the hub is lost.
+    std::vector<endpoint_load> loads;
+    std::vector<waiting_count> waiting;
+    std::vector<endpoint_name> changingRole;
+    std::vector<account_usage> usage;
+    // Last heartbeat of the receiver that the totals include. The sequence is 0 if there is none.
+    std::uint64_t receiverIncarnation = 0;
+    std::uint64_t acknowledged = 0;
+
+    fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
 };
 
 // VMs that have announced themselves in the directory.
 struct members_read {
-    struct member {
-        vm_name vm;
-        std::string address;
-    };
-    std::vector<member> members;
+    std::vector<fleet_member> members;
 };
 
 // End of the log of orders. It is empty when the log could not be read.
@@ -188,8 +268,10 @@
                                  relay_attempt_ended,
                                  configuration_read,
                                  directory_read,
-                                 directory_reachable,
+                                 directory_read_finished,
+                                 directory_state,
                                  fleet_heartbeat,
+                                 fleet_summary,
                                  members_read,
                                  order_log_read,
                                  order_appended,
@@ -264,6 +346,27 @@
     std::shared_ptr<const fleet_heartbeat> heartbeatMessage;
 };
 
+struct send_summary {
+    std::string address;
+    std::shared_ptr<const fleet_summary> summary; // Its last two fields are empty.
+    std::uint64_t receiverIncarnation = 0;
+    std::uint64_t acknowledged = 0;
+};
+
+// Reads the configuration and the endpoint entries up to their ends. Entries before the position are known already.
+struct read_directory {
+    std::uint64_t position = 0;
+};
+
+struct read_members {
+};
+
+// Applies changes of endpoints that another VM has read.
+struct import_directory_changes {
+    std::shared_ptr<const std::string> changes;
+    std::uint64_t position = 0; // Position that is reached with these changes.
+};
+
 // Requests the configuration and the directory that another VM has.
 struct fetch_fleet_state {
     std::string address;
@@ -302,6 +405,10 @@
                                    relay_abort,
                                    release_prefill,
                                    send_heartbeat,
+                                   send_summary,
+                                   read_directory,
+                                   read_members,
+                                   import_directory_changes,
                                    fetch_fleet_state,
                                    read_order_log,
                                    append_order,
--- /dev/null
+++ b/shell/fleet_codec.cpp
@@ -0,0 +1,259 @@
+#include "fleet_codec.hpp"
+
+#include <cmath>
+
+#include <nlohmann/json.hpp>
+
+#include "address.hpp"
+#include "plantainpoint/failure.hpp"
+
+namespace plantainpoint {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int format = 3; // Version of the message format. Messages in another format are rejected.
+constexpr char heartbeatKind = 'H';
+constexpr char summaryKind = 'S';
+constexpr std::size_t numberBytes = 8;
+constexpr unsigned bitsPerByte = 8;
+
+void appendNumber(std::string &out, std::uint64_t value)
+{
+    for (std::size_t i = numberBytes; i-- > 0;) {
+        out += static_cast<char>(value >> (i * bitsPerByte) & 0xffU);
+    }
+}
+
+std::uint64_t readNumber(std::string_view bytes)
+{
+    std::uint64_t value = 0;
+    for (const char byte : bytes.substr(0, numberBytes)) {
+        value = value << bitsPerByte | static_cast<unsigned char>(byte);
+    }
+    return value;
+}
+
+json encodeKnowledge(const directory_knowledge &knowledge)
+{
+    json out{knowledge.configPosition,
+             knowledge.configSize,
+             knowledge.position,
+             knowledge.lastChange,
+             std::chrono::duration_cast<milliseconds>(knowledge.reannounceLeft).count()};
+    if (knowledge.proofAge) {
+        out.push_back(std::chrono::duration_cast<milliseconds>(*knowledge.proofAge).count());
+    }
+    return out;
+}
+
+directory_knowledge decodeKnowledge(const json &in)
+{
+    directory_knowledge knowledge{.configPosition = in.at(0).get<std::uint64_t>(),
+                                  .configSize = in.at(1).get<std::size_t>(),
+                                  .position = in.at(2).get<std::uint64_t>(),
+                                  .lastChange = in.at(3).get<std::uint64_t>(),
+                                  .reannounceLeft = milliseconds{in.at(4).get<std::uint32_t>()}};
+    constexpr std::size_t proofIndex = 5;
+    if (in.size() > proofIndex) {
+        knowledge.proofAge = milliseconds{in.at(proofIndex).get<std::uint32_t>()};
+    }
+    return knowledge;
+}
+
+json encodeMember(const fleet_member &member)
+{
+    return {member.vm.value, member.address, member.dataCentre.value, member.capacity};
+}
+
+fleet_member decodeMember(const json &in)
+{
+    return {{in.at(0).get<std::string>()}, in.at(1).get<std::string>(), {in.at(2).get<std::string>()}, in.at(3).get<std::int64_t>()};
+}
+
+template<class Element, class Encode>
+json encodeList(const std::vector<Element> &list, Encode encode)
+{
+    json out = json::array();
+    for (const auto &element : list) {
+        out.push_back(encode(element));
+    }
+    return out;
+}
+
+template<class Element, class Decode>
+std::vector<Element> decodeList(const json &in, Decode decode)
+{
+    std::vector<Element> out;
+    for (const auto &element : in) {
+        out.push_back(decode(element));
+    }
+    return out;
+}
+
+// Encodes loads, waiting requests, changed roles and admissions, which both messages carry.
+template<class Message>
+json encodeTotals(const Message &message)
+{
+    return {encodeList(message.loads,
+                       [](const auto &load) {
+                           return json{load.endpoint.value, load.running, load.prefillTokens, load.kvTokens};
+                       }),
+            encodeList(message.waiting,
+                       [](const auto &waiting) {
+                           return json{waiting.service.value, waiting.requests};
+                       }),
+            encodeList(message.changingRole, [](const auto &name) { return json(name.value); }),
+            encodeList(message.usage, [](const auto &usage) {
+                return json{usage.account.value, usage.admitted};
+            })};
+}
+
+template<class Message>
+void decodeTotals(const json &in, Message &message)
+{
+    message.loads = decodeList<endpoint_load>(in.at(0), [](const json &load) {
+        return endpoint_load{{load.at(0).get<std::string>()}, load.at(1).get<std::int32_t>(), load.at(2).get<std::int64_t>(), load.at(3).get<std::int64_t>()};
+    });
+    message.waiting = decodeList<waiting_count>(in.at(1), [](const json &waiting) {
+        return waiting_count{{waiting.at(0).get<std::string>()}, waiting.at(1).get<std::int32_t>()};
+    });
+    message.changingRole = decodeList<endpoint_name>(in.at(2), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
+    message.usage = decodeList<account_usage>(in.at(3), [](const json &usage) {
+        return account_usage{{usage.at(0).get<std::string>()}, usage.at(1).get<double>()};
+    });
+}
+
+fleet_heartbeat readHeartbeat(const json &in)
+{
+    fleet_heartbeat heartbeatMessage;
+    const auto member = decodeMember(in.at(1));
+    heartbeatMessage.from = {member.vm, in.at(2).get<std::uint64_t>()};
+    heartbeatMessage.sequence = in.at(3).get<std::uint64_t>();
+    heartbeatMessage.address = member.address;
+    heartbeatMessage.dataCentre = member.dataCentre;
+    heartbeatMessage.capacity = member.capacity;
+    heartbeatMessage.leaving = in.at(4).get<bool>();
+    heartbeatMessage.follows.value = in.at(5).get<std::string>();
+    heartbeatMessage.knowledge = decodeKnowledge(in.at(6));
+    decodeTotals(in.at(7), heartbeatMessage);
+    return heartbeatMessage;
+}
+
+fleet_summary readSummary(const json &in)
+{
+    fleet_summary summary;
+    const auto member = decodeMember(in.at(1));
+    summary.from = {member.vm, in.at(2).get<std::uint64_t>()};
+    summary.sequence = in.at(3).get<std::uint64_t>();
+    summary.address = member.address;
+    summary.dataCentre = member.dataCentre;
+    summary.capacity = member.capacity;
+    summary.leaving = in.at(4).get<bool>();
+    summary.settled = in.at(5).get<bool>();
+    summary.knowledge = decodeKnowledge(in.at(6));
+    decodeTotals(in.at(7), summary);
+    summary.scope = static_cast<summary_scope>(std::min<unsigned>(in.at(8).get<unsigned>(), static_cast<unsigned>(summary_scope::Fleet)));
+    summary.changesFrom = in.at(9).get<std::uint64_t>();
+    if (auto changes = in.at(10).get<std::string>(); !changes.empty()) {
+        summary.changes = std::make_shared<const std::string>(std::move(changes));
+    }
+    summary.heardVms = in.at(11).get<std::int32_t>();
+    summary.memberVms = in.at(12).get<std::int32_t>();
+    summary.candidates = decodeList<fleet_member>(in.at(13), decodeMember);
+    return summary;
+}
+
+template<class Message>
+absl::StatusOr<fleet_message> checked(Message message)
+{
+    if (message.from.vm.empty() || !parseAddress(message.address)) {
+        return makeStatus(failure::MalformedMessage, "fleet message: expected a VM name that is not empty and an address of the form IP:PORT");
+    }
+    for (const auto &used : message.usage) {
+        if (!std::isfinite(used.admitted)) {
+            return makeStatus(failure::MalformedMessage, "fleet message: expected a finite number as the usage of an account");
+        }
+    }
+    return fleet_message{std::move(message)};
+}
+
+std::string toBytes(const json &in)
+{
+    std::string bytes;
+    json::to_cbor(in, bytes);
+    return bytes;
+}
+
+} // namespace
+
+std::string encodeHeartbeat(const fleet_heartbeat &heartbeatMessage)
+{
+    const json out{format,
+                   encodeMember(heartbeatMessage.member()),
+                   heartbeatMessage.from.number,
+                   heartbeatMessage.sequence,
+                   heartbeatMessage.leaving,
+                   heartbeatMessage.follows.value,
+                   encodeKnowledge(heartbeatMessage.knowledge),
+                   encodeTotals(heartbeatMessage)};
+    return heartbeatKind + toBytes(out);
+}
+
+std::string encodeSummaryBody(const fleet_summary &summary)
+{
+    const json out{format,
+                   encodeMember(summary.member()),
+                   summary.from.number,
+                   summary.sequence,
+                   summary.leaving,
+                   summary.settled,
+                   encodeKnowledge(summary.knowledge),
+                   encodeTotals(summary),
+                   static_cast<unsigned>(summary.scope),
+                   summary.changesFrom,
+                   summary.changes ? *summary.changes : std::string{},
+                   summary.heardVms,
+                   summary.memberVms,
+                   encodeList(summary.candidates, encodeMember)};
+    return toBytes(out);
+}
+
+std::string encodeSummary(std::string_view body, std::uint64_t receiverIncarnation, std::uint64_t acknowledged)
+{
+    std::string out;
+    out.reserve(1 + 2 * numberBytes + body.size());
+    out += summaryKind;
+    appendNumber(out, receiverIncarnation);
+    appendNumber(out, acknowledged);
+    out += body;
+    return out;
+}
+
+absl::StatusOr<fleet_message> decodeFleetMessage(std::string_view bytes)
+{
+    const bool isSummary = !bytes.empty() && bytes.front() == summaryKind;
+    const std::size_t prefix = isSummary ? 1 + 2 * numberBytes : 1;
+    if (bytes.size() < prefix || (!isSummary && bytes.front() != heartbeatKind)) {
+        return makeStatus(failure::MalformedMessage, "fleet message: expected a heartbeat or a summary");
+    }
+    try {
+        const auto in = json::from_cbor(bytes.substr(prefix));
+        if (!in.is_array() || in.empty() || in[0] != format) {
+            return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 3");
+        }
+        if (!isSummary) {
+            return checked(readHeartbeat(in));
+        }
+        auto summary = readSummary(in);
+        summary.receiverIncarnation = readNumber(bytes.substr(1));
+        summary.acknowledged = readNumber(bytes.substr(1 + numberBytes));
+        return checked(std::move(summary));
+    } catch (const json::exception &error) {
+        return makeStatus(failure::MalformedMessage, error.what());
+    }
+}
+
+} // namespace plantainpoint
--- a/shell/heartbeat_link.cpp
+++ b/shell/fleet_link.cpp
@@ -1,9 +1,8 @@
-#include "heartbeat_link.hpp"
+#include "fleet_link.hpp"
 
 #include <utility>
 
 #include "address.hpp"
-#include "heartbeat_codec.hpp"
 #include "plantainpoint/failure.hpp"
 
 namespace plantainpoint {
@@ -11,14 +10,14 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 
-heartbeat_link::heartbeat_link(asio::io_context &io, heartbeat_sink sink, const line_logger &logger)
+fleet_link::fleet_link(asio::io_context &io, message_sink sink, const line_logger &logger)
     : m_sink(std::move(sink))
     , m_logger(logger)
     , m_socket(io)
 {
 }
 
-absl::Status heartbeat_link::listen(const std::string &address)
+absl::Status fleet_link::listen(const std::string &address)
 {
     const auto endpoint = parseAddress(address);
     if (!endpoint) {
@@ -38,34 +37,49 @@
     return absl::OkStatus();
 }
 
-// Drops a datagram that cannot be sent at once, because the next heartbeat carries newer values of every field.
-void heartbeat_link::send(const send_heartbeat &command)
+// Drops a datagram that cannot be sent at once, because the next message carries newer values of every field.
+void fleet_link::sendTo(const std::string &address, const std::string &bytes)
 {
-    const auto endpoint = parseAddress(command.address);
+    const auto endpoint = parseAddress(address);
     if (!endpoint) {
         return;
     }
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0, error);
+}
+
+void fleet_link::send(const send_heartbeat &command)
+{
     if (m_encodedHeartbeat != command.heartbeatMessage) {
-        m_encoded = encodeHeartbeat(*command.heartbeatMessage);
+        m_heartbeatBytes = encodeHeartbeat(*command.heartbeatMessage);
         m_encodedHeartbeat = command.heartbeatMessage;
     }
-    boost::system::error_code error;
-    m_socket.send_to(asio::buffer(m_encoded), udp::endpoint(endpoint->address(), endpoint->port()), 0, error);
+    sendTo(command.address, m_heartbeatBytes);
+}
+
+void fleet_link::send(const send_summary &command)
+{
+    auto &[summary, body] = m_summaryBodies[command.summary->scope];
+    if (summary != command.summary) {
+        body = encodeSummaryBody(*command.summary);
+        summary = command.summary;
+    }
+    sendTo(command.address, encodeSummary(body, command.receiverIncarnation, command.acknowledged));
 }
 
-void heartbeat_link::receive()
+void fleet_link::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
         if (error == asio::error::operation_aborted) {
             return;
         }
         if (!error) {
-            auto heartbeatMessage = decodeHeartbeat({m_buffer.data(), size});
-            if (heartbeatMessage.ok()) {
-                m_sink(std::move(*heartbeatMessage));
+            auto message = decodeFleetMessage({m_buffer.data(), size});
+            if (message.ok()) {
+                m_sink(std::move(*message));
             } else if (m_malformed++ == 0) {
-                const auto text = heartbeatMessage.status().message();
-                m_logger.write(severity::Warning, log_component::Peer, "Received a malformed heartbeat: " + std::string(text.data(), text.size()) + '.');
+                const auto text = message.status().message();
+                m_logger.write(severity::Warning, log_component::Peer, "Received a malformed message of another VM: " + std::string(text.data(), text.size()) + '.');
             }
         }
         receive();
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -1,6 +1,5 @@
 #include "relay_options.hpp"
 
-#include <charconv>
 #include <random>
 
 #include "yaml_reader.hpp"
@@ -19,23 +18,30 @@
     return (static_cast<std::uint64_t>(random()) << halfWidth) | random();
 }
 
-void readRetries(settings_section &&section, relay_settings &out, settings_errors &errors)
+void readRetries(settings_section &&section, relay_settings &out)
 {
-    const auto text = section.text("ratio", "0.2");
-    const auto [parsedEnd, error] = std::from_chars(text.data(), text.data() + text.size(), out.retryRatio);
-    if (error != std::errc{} || parsedEnd != text.data() + text.size() || out.retryRatio < 0 || out.retryRatio > 1) {
-        errors.add(-1, "retries.ratio", "must be a number from 0 to 1");
-    }
-    out.retrySlack = static_cast<double>(section.integer("slack", 50, 0, 1'000'000));
+    out.retryRatio = section.number("ratio", out.retryRatio, 0, 1);
+    out.retrySlack = section.number("slack", out.retrySlack, 0, 1'000'000);
     section.finish();
 }
 
 void readLimits(settings_section &&section, relay_settings &out)
 {
     constexpr double percent = 100;
-    const auto tolerance = static_cast<double>(section.integer("tolerance", 0, 0, 1'000'000'000));
+    const auto tolerance = section.number("tolerance", 0, 0, 1'000'000'000);
     // The rest of the tolerance covers admissions that other VMs have not been notified of yet.
-    out.limitTolerance = tolerance * static_cast<double>(section.integer("tolerance_used_percent", 50, 0, 100)) / percent;
+    out.limitTolerance = tolerance * section.number("tolerance_used_percent", 50, 0, percent) / percent;
+    section.finish();
+}
+
+void readDirectory(settings_section &&section, relay_settings &out)
+{
+    constexpr double minBound = 500;
+    constexpr double maxBound = 600'000;
+    const auto defaultBound = std::chrono::duration<double, std::milli>(out.directoryBound).count();
+    const std::chrono::duration<double, std::milli> bound(section.number("bound_ms", defaultBound, minBound, maxBound));
+    out.directoryBound = std::chrono::duration_cast<duration>(bound);
+    out.directoryInterval = section.time("interval", milliseconds{400}, milliseconds{10}, milliseconds{10'000});
     section.finish();
 }
 
@@ -79,8 +85,11 @@
     out.directoryAddress = root.address("directory");
     out.core.peerAddress = out.peerAddress;
     out.core.drainTime = root.time("drain_time", milliseconds{2500}, milliseconds{0}, milliseconds{60'000});
-    out.directoryInterval = root.time("directory_interval", out.directoryInterval, milliseconds{50}, milliseconds{10'000});
-    readRetries(root.section("retries"), out.core, errors);
+    constexpr double thousandthsPerCore = 1000;
+    constexpr double maxCores = 10'000;
+    out.core.capacity = static_cast<std::int64_t>(root.number("processor_cores", 0, 0, maxCores) * thousandthsPerCore);
+    readDirectory(root.section("reading"), out.core);
+    readRetries(root.section("retries"), out.core);
     readLimits(root.section("limits"), out.core);
     readEngines(root.section("engines"), out.core);
     readLogging(root.section("logging"), out);
--- a/shell/relay_options.hpp
+++ b/shell/relay_options.hpp
@@ -16,7 +16,6 @@
     std::string readyAddress; // The load balancer checks the readiness here.
     std::string peerAddress; // Heartbeats (UDP), state transfer and metrics (TCP).
     std::string directoryAddress; // The configuration and the endpoints are published here.
-    std::chrono::milliseconds directoryInterval{600}; // Time between two reads of the endpoints.
     std::uint32_t logLinesPerSecond = 500; // Limit of each log component. A relay with 0.25 of a CPU core writes less at its peak.
     severity logLevel = severity::Info;
     log_format logFormat = log_format::Text;
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -14,7 +14,7 @@
 #include "admin_server.hpp"
 #include "clocks.hpp"
 #include "core_loop.hpp"
-#include "heartbeat_link.hpp"
+#include "fleet_link.hpp"
 #include "http_server.hpp"
 #include "log_limiter.hpp"
 #include "plantainpoint/relay_core.hpp"
@@ -28,7 +28,8 @@
 // clang-format off
 template<class T>
 concept relay_platform = endpoint_dialect<typename T::endpoints>
-    && requires(caller_request &request, typename T::directory &directory, const std::string &state, const read_order_log &read, const append_order &append) {
+    && requires(caller_request &request, typename T::directory &directory, const std::string &state, const read_order_log &read, const append_order &append,
+                const read_directory &readDirectory, const read_members &readMembers, const import_directory_changes &changes) {
     { T::decodeRequest(request) } -> std::same_as<relay_request>;
     { T::readyPath() } -> std::convertible_to<std::string>;
     directory.start();
@@ -37,6 +38,9 @@
     directory.importState(state);
     directory.run(read);
     directory.run(append);
+    directory.run(readDirectory);
+    directory.run(readMembers);
+    directory.run(changes);
 };
 // clang-format on
 
@@ -71,7 +75,11 @@
     void shutDown();
     admin_views adminViews();
 
-    void run(const send_heartbeat &command) { m_heartbeats.send(command); }
+    void run(const send_heartbeat &command) { m_fleetLink.send(command); }
+    void run(const send_summary &command) { m_fleetLink.send(command); }
+    void run(const read_directory &command) { m_directory.run(command); }
+    void run(const read_members &command) { m_directory.run(command); }
+    void run(const import_directory_changes &command) { m_directory.run(command); }
     void run(const fetch_fleet_state &command);
     void run(const log_line &command);
     void run(const read_order_log &command) { m_directory.run(command); }
@@ -91,7 +99,7 @@
     http_client m_directoryHttp;
     relay_client<typename Platform::endpoints> m_endpoints;
     typename Platform::directory m_directory;
-    heartbeat_link m_heartbeats;
+    fleet_link m_fleetLink;
     http_server m_server;
     admin_server m_ready;
     admin_server m_admin;
@@ -114,8 +122,10 @@
     , m_endpoints(m_http, typename Platform::endpoints{}, [this](relay_input message) { deliver(std::move(message)); })
     , m_directory(
           io, m_directoryHttp, m_options, [this](relay_input message) { deliver(std::move(message)); }, m_logger)
-    , m_heartbeats(
-          io, [this](fleet_heartbeat heartbeatMessage) { deliver(std::move(heartbeatMessage)); }, m_logger)
+    , m_fleetLink(
+          io,
+          [this](fleet_message message) { std::visit([this](auto &content) { deliver(std::move(content)); }, message); },
+          m_logger)
     , m_server(
           io,
           {server_limits{.connectionsPerAccount = 1'000'000}, {}, request_handling::Opaque},
@@ -146,7 +156,7 @@
 template<relay_platform Platform>
 absl::Status relay_vm<Platform>::start()
 {
-    if (auto bindStatus = m_heartbeats.listen(m_options.peerAddress); !bindStatus.ok()) {
+    if (auto bindStatus = m_fleetLink.listen(m_options.peerAddress); !bindStatus.ok()) {
         return bindStatus;
     }
     if (auto bindStatus = m_admin.listen(m_options.peerAddress); !bindStatus.ok()) {
--- a/shell/yaml_reader.cpp
+++ b/shell/yaml_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -166,6 +167,28 @@
     return number;
 }
 
+double settings_section::number(const std::string &key, double fallback, double low, double high)
+{
+    if (const auto node = find(key); node && node.IsNull()) {
+        return fallback;
+    }
+    bool found = false;
+    const auto value = scalar(key, false, found);
+    if (!found || value.empty()) {
+        return fallback;
+    }
+    if (value == "true" || value == "false") {
+        return std::clamp(value == "true" ? 1.0 : 0.0, low, high);
+    }
+    double parsed = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+    if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(parsed)) {
+        fail(find(key), key, "must be a number");
+        return fallback;
+    }
+    return std::clamp(parsed, low, high);
+}
+
 std::size_t settings_section::size(const std::string &key, std::size_t fallback, std::size_t low, std::size_t high)
 {
     bool found = false;
--- /dev/null
+++ b/src/directory_follower.cpp
@@ -0,0 +1,102 @@
+#include "directory_follower.hpp"
+
+#include <algorithm>
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto retryPause = milliseconds{200}; // Pause after a failed read of a VM that knows nothing yet, or that reads for the fleet.
+constexpr auto lostAnswerTimeout = milliseconds{2500}; // A read without a result by then counts as failed. The reader has shorter timeouts.
+constexpr int outageThreshold = 2; // Failed reads in a row. A single read may fail by chance.
+constexpr auto outageTime = milliseconds{2000}; // Entries of live endpoints lapse in longer outages only.
+// Parts of the bound after which a VM reads by itself. The rest covers the read and the way of the change through the hubs.
+constexpr std::int64_t standByPercent = 40;
+constexpr std::int64_t followerPercent = 55;
+constexpr std::int64_t jitterPercent = 20;
+constexpr std::int64_t followerPausePercent = 25; // Pause of a follower whose reads fail.
+constexpr std::int64_t percent = 100;
+
+} // namespace
+
+directory_follower::directory_follower(duration interval, duration bound, std::uint64_t seed)
+    : m_interval(interval)
+    , m_bound(bound)
+    , m_jitter(bound * jitterPercent / percent * static_cast<std::int64_t>(seed % percent) / percent)
+{
+}
+
+duration directory_follower::maxProofAge(directory_role role) const
+{
+    switch (role) {
+    case directory_role::Reader:
+        return {};
+    case directory_role::StandBy:
+        return m_bound * standByPercent / percent;
+    case directory_role::Follower:
+        break;
+    }
+    return m_bound * followerPercent / percent + m_jitter;
+}
+
+duration directory_follower::pause(directory_role role) const
+{
+    if (!m_provedAt || (role == directory_role::Reader && m_failures > 0)) {
+        return retryPause;
+    }
+    return role == directory_role::Follower ? m_bound * followerPausePercent / percent + m_jitter : m_interval;
+}
+
+bool directory_follower::startRead(directory_role role, time_point now)
+{
+    if (m_readStartedAt && now - *m_readStartedAt < lostAnswerTimeout) {
+        return false;
+    }
+    const bool stale = !m_provedAt || now - *m_provedAt >= maxProofAge(role);
+    const bool paused = m_lastReadAt && now - *m_lastReadAt < pause(role);
+    if (!m_expedited && (!stale || paused)) {
+        return false;
+    }
+    m_expedited = false;
+    m_readStartedAt = now;
+    return true;
+}
+
+void directory_follower::onReadFinished(bool succeeded, time_point now)
+{
+    if (!m_readStartedAt) {
+        return;
+    }
+    if (succeeded) {
+        m_provedAt = std::max(m_provedAt.value_or(*m_readStartedAt), *m_readStartedAt);
+    }
+    m_failures = succeeded ? 0 : m_failures + 1;
+    m_failedReadStartedAt = succeeded ? m_failedReadStartedAt : *m_readStartedAt;
+    m_lastReadAt = now;
+    m_readStartedAt.reset();
+}
+
+bool directory_follower::onProof(time_point provedAt)
+{
+    m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
+    if (provedAt <= m_failedReadStartedAt) {
+        return false;
+    }
+    m_failures = 0;
+    return true;
+}
+
+bool directory_follower::reachable(time_point now) const
+{
+    const bool silentForLong = !m_provedAt || now - *m_provedAt > outageTime;
+    return m_failures == 0 || (m_failures < outageThreshold && !silentForLong);
+}
+
+std::optional<duration> directory_follower::proofAge(time_point now) const
+{
+    return m_provedAt ? std::optional(now - *m_provedAt) : std::nullopt;
+}
+
+} // namespace plantainpoint
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -163,6 +163,19 @@
     m_reachable = reachable;
 }
 
+void endpoint_directory::onReannouncing(duration reannounceLeft, time_point now)
+{
+    if (reannounceLeft > duration{}) {
+        m_reachableSince = std::max(m_reachableSince, now + reannounceLeft - reannounceTime);
+        m_hadOutage = true;
+    }
+}
+
+duration endpoint_directory::reannounceLeft(time_point now) const
+{
+    return m_hadOutage ? std::max<duration>(m_reachableSince + reannounceTime - now, duration{}) : duration{};
+}
+
 void endpoint_directory::tick(time_point now)
 {
     std::erase_if(m_entries, [&](const auto &item) { return item.second.withdrawnAt && now >= *item.second.withdrawnAt && item.second.open.empty(); });
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -75,10 +75,18 @@
     // Applies changes read from the directory and returns the names whose changes are worth a log line.
     std::vector<endpoint_name> onRead(const directory_read &read, time_point now);
     void onReachable(bool reachable, time_point now);
+    // Records that another VM has read the directory after it did not answer here.
+    void onReadElsewhere() { m_reachable = true; }
+    // Records for how long another VM still expects endpoints back whose entries lapsed in an outage.
+    void onReannouncing(duration reannounceLeft, time_point now);
+    // Returns for how long endpoints are still expected back after an outage.
+    duration reannounceLeft(time_point now) const;
     // Removes entries that are withdrawn and have no open work.
     void tick(time_point now);
 
     std::uint64_t position() const { return m_position; }
+    // Records that no endpoint has changed up to the position.
+    void onUnchanged(std::uint64_t position) { m_position = std::max(m_position, position); }
     bool known() const { return m_known; }
     bool reachable() const { return m_reachable; }
     endpoint_entry *find(const endpoint_name &name);
--- a/src/fleet_limiter.cpp
+++ b/src/fleet_limiter.cpp
@@ -84,26 +84,14 @@
     return usages;
 }
 
-void fleet_limiter::onFleetHeartbeat(const fleet_heartbeat &heartbeatMessage, bool afterSilence, time_point now)
+void fleet_limiter::debit(const std::vector<account_usage> &admitted, time_point now)
 {
-    auto &peer = m_peers[heartbeatMessage.from.vm];
-    // A restarted VM counts its admissions from zero.
-    if (peer.incarnation != heartbeatMessage.from.number) {
-        peer = {heartbeatMessage.from.number, {}};
-    }
-    for (const auto &accountUsage : heartbeatMessage.usage) {
-        auto &knownAdmitted = peer.admitted[accountUsage.account];
-        const double newlyAdmitted = accountUsage.admitted - knownAdmitted;
-        knownAdmitted = accountUsage.admitted;
-        if (afterSilence) {
-            continue;
-        }
-        const auto it = m_buckets.find(accountUsage.account);
-        if (it == m_buckets.end()) {
-            continue;
+    for (const auto &each : admitted) {
+        const auto it = m_buckets.find(each.account);
+        if (it != m_buckets.end()) {
+            refill(it->second, now);
+            it->second.level = std::min(it->second.burst, it->second.level - each.admitted);
         }
-        refill(it->second, now);
-        it->second.level = std::min(it->second.burst, it->second.level - newlyAdmitted);
     }
 }
 
--- a/src/fleet_limiter.hpp
+++ b/src/fleet_limiter.hpp
@@ -33,9 +33,8 @@
 
     // Returns the units that this VM has admitted since its start, per account.
     std::vector<account_usage> usage() const;
-    // Debits what the sender has admitted. If the heartbeat is the first one after a silence, during which the rate was reduced by the share
-    // of the sender, only what the sender admits from now on is debited.
-    void onFleetHeartbeat(const fleet_heartbeat &heartbeatMessage, bool afterSilence, time_point now);
+    // Debits what other VMs have admitted since the last call. Refunds are negative.
+    void debit(const std::vector<account_usage> &admitted, time_point now);
 
 private:
     struct bucket {
@@ -45,15 +44,9 @@
         time_point refilledAt{};
         double admitted = 0; // Units admitted by this VM.
     };
-    struct peer_usage {
-        std::uint64_t incarnation = 0;
-        std::unordered_map<account_name, double> admitted;
-    };
-
     void refill(bucket &entry, time_point now) const;
 
     std::unordered_map<account_name, bucket> m_buckets;
-    std::unordered_map<vm_name, peer_usage> m_peers;
     double m_tolerance;
     double m_heardFraction = 1;
 };
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -5,128 +5,378 @@
 
 namespace plantainpoint {
 
-fleet_view::fleet_view(incarnation_id self, std::string address)
-    : m_self(std::move(self))
-    , m_address(std::move(address))
-{
-}
+namespace {
+
+constexpr auto settleTime = std::chrono::seconds{1}; // A hub hears all VMs of its data centre within this time.
+// Pause between two summaries to VMs that are silent. They may have restarted without the directory.
+constexpr auto noticeInterval = std::chrono::seconds{1};
+constexpr std::size_t maxSentHeartbeats = 16; // Heartbeats that a hub may still acknowledge.
 
-bool fleet_view::isHeard(const peer &entry, time_point now)
+} // namespace
+
+fleet_view::fleet_view(fleet_member self, std::uint64_t incarnation)
+    : m_incarnation(incarnation)
+    , m_members(std::move(self))
 {
-    return entry.heardAt && now - *entry.heardAt < vmSilenceTimeout;
 }
 
 void fleet_view::onMembers(const members_read &members, time_point now)
 {
     for (const auto &member : members.members) {
-        if (member.vm == m_self.vm || member.address == m_address) {
-            continue;
-        }
-        const auto [it, added] = m_peers.try_emplace(member.vm);
-        if (added) {
-            it->second.knownSince = now;
-            it->second.address = member.address;
-        } else if (!isHeard(it->second, now)) {
-            it->second.address = member.address;
-        }
+        m_members.add(member, now);
     }
 }
 
-fleet_view::heartbeat_arrival fleet_view::onFleetHeartbeat(const fleet_heartbeat &heartbeatMessage, time_point now)
+fleet_view::message_arrival fleet_view::on(const fleet_heartbeat &heartbeatMessage, time_point now)
 {
-    if (heartbeatMessage.from.vm == m_self.vm) {
+    const auto arrival = m_members.onMessage(heartbeatMessage.member(), heartbeatMessage.from.number, now);
+    if (arrival.peer == nullptr || heartbeatMessage.sequence <= arrival.peer->heartbeatSequence) {
         return {};
     }
-    const auto [it, added] = m_peers.try_emplace(heartbeatMessage.from.vm);
-    auto &entry = it->second;
-    if (added) {
-        entry.knownSince = now;
+    auto &peer = *arrival.peer;
+    // A restart of a VM that was heard is not a silence, as everything that its new incarnation has admitted is new.
+    const bool heardBefore = peer.heartbeatAt.has_value();
+    const bool resumed = !heardBefore || (!arrival.restarted && now - *peer.heartbeatAt >= vmSilenceTimeout);
+    peer.heartbeatSequence = heartbeatMessage.sequence;
+    peer.heartbeatAt = now;
+    peer.leaving = heartbeatMessage.leaving;
+    m_direct.set(heartbeatMessage.from.vm.value, heartbeatMessage.loads, heartbeatMessage.waiting);
+    auto &source = m_directSources[heartbeatMessage.from.vm];
+    source.changingRole = heartbeatMessage.changingRole;
+    source.follows = heartbeatMessage.follows;
+    auto admitted = source.usage.onReport(heartbeatMessage.from, heartbeatMessage.usage, resumed);
+    addUsage(m_dataCentreUsage, admitted);
+    addUsage(m_fleetUsage, admitted);
+    if (!countsDirect()) {
+        admitted.clear(); // The totals of the followed hub contain them.
+    }
+    return {true, arrival.added || arrival.restarted || !heardBefore, std::move(admitted)};
+}
+
+const fleet_view::sent_heartbeat *fleet_view::findSent(const fleet_summary &summary) const
+{
+    if (summary.receiverIncarnation != m_incarnation) {
+        return nullptr;
     }
-    const bool restarted = entry.incarnation != heartbeatMessage.from.number;
-    if (!restarted && heartbeatMessage.sequence <= entry.sequence) {
+    const auto it =
+        std::find_if(m_sentHeartbeats.begin(), m_sentHeartbeats.end(), [&](const auto &each) { return each.sequence == summary.acknowledged; });
+    return it == m_sentHeartbeats.end() ? nullptr : &*it;
+}
+
+fleet_view::message_arrival fleet_view::on(const fleet_summary &summary, time_point now)
+{
+    const auto arrival = m_members.onMessage(summary.member(), summary.from.number, now);
+    if (arrival.peer == nullptr || summary.sequence <= arrival.peer->summarySequence) {
         return {};
     }
-    const bool heardBefore = entry.heardAt.has_value();
-    // A restart of a VM that was heard is not a silence, as everything that its new incarnation has admitted is new.
-    const bool resumed = !heardBefore || (!restarted && !isHeard(entry, now));
-    entry.address = heartbeatMessage.address;
-    entry.incarnation = heartbeatMessage.from.number;
-    entry.sequence = heartbeatMessage.sequence;
-    entry.heardAt = now;
-    entry.leaving = heartbeatMessage.leaving;
-    entry.configVersion = heartbeatMessage.configVersion;
-    entry.directoryPosition = heartbeatMessage.directoryPosition;
-    entry.loads.clear();
-    for (const auto &load : heartbeatMessage.loads) {
-        entry.loads.emplace(load.endpoint, load);
+    auto &peer = *arrival.peer;
+    peer.summarySequence = summary.sequence;
+    peer.summaryAt = now;
+    peer.leaving = summary.leaving;
+    for (const auto &candidate : summary.candidates) {
+        m_members.add(candidate, now);
     }
-    return {true, resumed, added || restarted};
+    message_arrival result{true, arrival.added || arrival.restarted, {}};
+    if (summary.scope == summary_scope::DataCentre && summary.dataCentre != m_members.self().dataCentre) {
+        m_peerHubs[summary.from.vm] = now;
+        if (m_isHub && replaceSource(summary, now)) {
+            result.admitted = applyTotals(summary, nullptr, now);
+            addUsage(m_fleetUsage, result.admitted);
+        }
+    } else if (summary.scope == summary_scope::Fleet && summary.from.vm == m_follows && !m_isHub) {
+        if (const auto *const own = findSent(summary)) {
+            replaceSource(summary, now);
+            result.admitted = applyTotals(summary, own, now);
+        }
+    }
+    return result;
 }
 
-void fleet_view::tick(time_point now)
+// Returns whether the totals of a data centre are taken from the sender. Two hubs of a data centre report the same work, so that only one
+// counts at a time.
+bool fleet_view::replaceSource(const fleet_summary &summary, time_point now)
 {
-    std::erase_if(m_peers, [&](const auto &vmAndPeer) { return now - vmAndPeer.second.heardAt.value_or(vmAndPeer.second.knownSince) > vmRemovalTimeout; });
+    auto &source = m_remoteSources[summary.dataCentre];
+    if (source.hub == summary.from.vm) {
+        source.settled = summary.settled;
+        return true;
+    }
+    const auto *const current = m_members.find(source.hub);
+    const bool isLive = current != nullptr && current->isLiveHub(now) && now - source.receivedAt < hubSilenceTimeout;
+    const bool isFollowed = summary.from.vm == m_follows;
+    const bool better = summary.settled != source.settled ? summary.settled : current != nullptr && precedes(summary.member(), current->info);
+    if (isLive && !better && !isFollowed) {
+        return false;
+    }
+    source = {.hub = summary.from.vm, .settled = summary.settled};
+    return true;
 }
 
-std::size_t fleet_view::heard(time_point now) const
+std::vector<account_usage> fleet_view::applyTotals(const fleet_summary &summary, const sent_heartbeat *own, time_point now)
 {
-    return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &vmAndPeer) {
-               return isHeard(vmAndPeer.second, now) && !vmAndPeer.second.leaving;
-           }));
+    auto &source = m_remoteSources.at(summary.dataCentre);
+    const bool first = source.receivedAt == time_point{};
+    const bool resumed = !first && now - source.receivedAt >= vmSilenceTimeout;
+    source.receivedAt = now;
+    source.heardVms = summary.heardVms;
+    source.memberVms = summary.memberVms;
+    source.changingRole = summary.changingRole;
+    auto loads = summary.loads;
+    auto waiting = summary.waiting;
+    auto usage = summary.usage;
+    if (own != nullptr) {
+        addLoads(loads, own->content->loads, -1);
+        addWaiting(waiting, own->content->waiting, -1);
+        addUsage(usage, own->content->usage, -1);
+    }
+    m_remote.set(summary.dataCentre.value, loads, waiting);
+    return source.usage.onReport(summary.from, usage, first || resumed);
 }
 
-// A silent VM that announced that it leaves has ended and does not count.
-std::size_t fleet_view::members(time_point now) const
+void fleet_view::setRole(const hub_selection &selection, time_point now)
 {
-    const auto mayBeRunning = [&](const auto &vmAndPeer) {
-        const auto &entry = vmAndPeer.second;
-        return entry.heardAt && !entry.leaving && now - *entry.heardAt < vmExpiryTimeout;
-    };
-    return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), mayBeRunning));
+    const auto &ownDataCentre = m_members.self().dataCentre;
+    if (selection.selfIsHub != m_isHub) {
+        m_isHub = selection.selfIsHub;
+        m_hubSince = m_isHub ? std::optional(now) : std::nullopt;
+        // A hub sums up what it hears directly, and any other VM takes the totals of one hub.
+        std::erase_if(m_remoteSources, [&](const auto &each) { return (each.first == ownDataCentre) == m_isHub; });
+        if (m_isHub) {
+            m_remote.remove(ownDataCentre.value);
+        } else {
+            m_remote.removeAllBut(ownDataCentre.value);
+        }
+    }
+    m_follows = {};
+    for (const auto &hub : selection.hubs) {
+        if (m_isHub) {
+            break;
+        }
+        const auto source = m_remoteSources.find(ownDataCentre);
+        // Keeps the hub, as every change loses the admissions of one interval.
+        if (source != m_remoteSources.end() && source->second.hub == hub) {
+            m_follows = hub;
+            break;
+        }
+        m_follows = m_follows.empty() ? hub : m_follows;
+    }
 }
 
-vm_name fleet_view::lowest(time_point now) const
+void fleet_view::expireSources(time_point now)
 {
-    // The peers are sorted by name.
-    const auto it =
-        std::find_if(m_peers.begin(), m_peers.end(), [&](const auto &vmAndPeer) { return isHeard(vmAndPeer.second, now) && !vmAndPeer.second.leaving; });
-    return it == m_peers.end() ? m_self.vm : std::min(it->first, m_self.vm);
+    std::erase_if(m_directSources, [&](const auto &vmAndSource) {
+        const auto *const peer = m_members.find(vmAndSource.first);
+        if (peer != nullptr && peer->heartbeatAt && now - *peer->heartbeatAt < vmSilenceTimeout) {
+            return false;
+        }
+        m_direct.remove(vmAndSource.first.value);
+        return peer == nullptr; // The tracker is kept, so that a VM that returns is not debited twice.
+    });
+    for (auto &[dataCentre, source] : m_remoteSources) {
+        if (now - source.receivedAt >= vmSilenceTimeout) {
+            m_remote.remove(dataCentre.value);
+            source.changingRole.clear();
+        }
+    }
+    std::erase_if(m_peerHubs, [&](const auto &hubAndTime) { return now - hubAndTime.second >= vmSilenceTimeout; });
 }
 
-endpoint_load fleet_view::loadAt(const endpoint_name &endpoint, time_point now) const
+void fleet_view::exchange(const own_report &report, time_point now, std::vector<relay_command> &out)
 {
-    endpoint_load sum{.endpoint = endpoint};
-    for (const auto &[vm, entry] : m_peers) {
-        if (!isHeard(entry, now)) {
-            continue;
+    m_members.setLeaving(m_leaving);
+    m_members.tick(now);
+    expireSources(now);
+    const auto selection = m_members.select(m_members.self().dataCentre, now);
+    setRole(selection, now);
+    sendHeartbeats(report, selection, now, out);
+    sendSummaries(report, now, out);
+}
+
+void fleet_view::sendHeartbeats(const own_report &report, const hub_selection &selection, time_point now, std::vector<relay_command> &out)
+{
+    auto receivers = selection.hubs;
+    receivers.insert(receivers.end(), selection.probes.begin(), selection.probes.end());
+    if (!m_sentHeartbeats.empty()) {
+        const auto &last = *m_sentHeartbeats.back().content;
+        const bool unchanged = last.loads == report.loads && last.waiting == report.waiting && last.changingRole == report.changingRole
+            && last.usage == report.usage && last.leaving == m_leaving && last.follows == m_follows && receivers == m_lastReceivers;
+        if (unchanged && now - m_lastHeartbeatAt < idleHeartbeatInterval) {
+            return;
         }
-        const auto it = entry.loads.find(endpoint);
-        if (it == entry.loads.end()) {
+    }
+    const auto &self = m_members.self();
+    auto heartbeatMessage = std::make_shared<const fleet_heartbeat>(fleet_heartbeat{.from = {self.vm, m_incarnation},
+                                                                                    .sequence = ++m_heartbeatSequence,
+                                                                                    .address = self.address,
+                                                                                    .dataCentre = self.dataCentre,
+                                                                                    .capacity = self.capacity,
+                                                                                    .leaving = m_leaving,
+                                                                                    .follows = m_follows,
+                                                                                    .knowledge = report.knowledge,
+                                                                                    .loads = report.loads,
+                                                                                    .waiting = report.waiting,
+                                                                                    .changingRole = report.changingRole,
+                                                                                    .usage = report.usage});
+    m_sentHeartbeats.push_back({m_heartbeatSequence, heartbeatMessage});
+    if (m_sentHeartbeats.size() > maxSentHeartbeats) {
+        m_sentHeartbeats.pop_front();
+    }
+    for (const auto &vm : receivers) {
+        m_members.onProbe(vm, now);
+        out.push_back(send_heartbeat{m_members.find(vm)->info.address, heartbeatMessage});
+    }
+    m_lastHeartbeatAt = now;
+    m_lastReceivers = std::move(receivers);
+}
+
+std::size_t fleet_view::countDirect(duration silence, time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_members.peers().begin(), m_members.peers().end(), [&](const auto &vmAndPeer) {
+        const auto &peer = vmAndPeer.second;
+        return peer.heartbeatAt && !peer.leaving && now - *peer.heartbeatAt < silence && peer.info.dataCentre == m_members.self().dataCentre;
+    }));
+}
+
+std::shared_ptr<fleet_summary> fleet_view::makeSummary(const own_report &report, summary_scope scope, time_point now) const
+{
+    const auto &self = m_members.self();
+    auto summary = std::make_shared<fleet_summary>(fleet_summary{.from = {self.vm, m_incarnation},
+                                                                 .sequence = m_summarySequence,
+                                                                 .address = self.address,
+                                                                 .dataCentre = self.dataCentre,
+                                                                 .capacity = self.capacity,
+                                                                 .scope = scope,
+                                                                 .leaving = m_leaving,
+                                                                 .settled = m_hubSince && now - *m_hubSince >= settleTime,
+                                                                 .knowledge = report.knowledge,
+                                                                 .changesFrom = report.changesFrom,
+                                                                 .changes = report.changes,
+                                                                 .candidates = m_members.candidates(now)});
+    if (scope == summary_scope::Brief) {
+        return summary;
+    }
+    summary->loads = report.loads;
+    summary->waiting = report.waiting;
+    summary->usage = report.usage;
+    summary->changingRole = report.changingRole;
+    m_direct.addTo(summary->loads, summary->waiting);
+    for (const auto &[vm, source] : m_directSources) {
+        summary->changingRole.insert(summary->changingRole.end(), source.changingRole.begin(), source.changingRole.end());
+    }
+    if (scope == summary_scope::DataCentre) {
+        addUsage(summary->usage, m_dataCentreUsage);
+        summary->heardVms = static_cast<std::int32_t>(1 + countDirect(vmSilenceTimeout, now));
+        summary->memberVms = static_cast<std::int32_t>(1 + countDirect(vmExpiryTimeout, now));
+        return summary;
+    }
+    m_remote.addTo(summary->loads, summary->waiting);
+    addUsage(summary->usage, m_fleetUsage);
+    for (const auto &[dataCentre, source] : m_remoteSources) {
+        summary->changingRole.insert(summary->changingRole.end(), source.changingRole.begin(), source.changingRole.end());
+    }
+    summary->heardVms = static_cast<std::int32_t>(heard(now));
+    summary->memberVms = static_cast<std::int32_t>(members(now));
+    return summary;
+}
+
+void fleet_view::send(const std::shared_ptr<const fleet_summary> &summary, const fleet_peer &receiver, std::vector<relay_command> &out) const
+{
+    out.push_back(send_summary{receiver.info.address, summary, receiver.incarnation, receiver.heartbeatSequence});
+}
+
+void fleet_view::sendSummaries(const own_report &report, time_point now, std::vector<relay_command> &out)
+{
+    ++m_summarySequence;
+    std::shared_ptr<const fleet_summary> brief;
+    std::shared_ptr<const fleet_summary> fleet;
+    const bool notify = m_isHub && now >= m_nextNotice;
+    for (const auto &[vm, peer] : m_members.peers()) {
+        const bool subscribed = peer.heartbeatAt && now - *peer.heartbeatAt < vmSilenceTimeout;
+        const bool silent = notify && !peer.isHeard(now) && peer.info.dataCentre == m_members.self().dataCentre;
+        if (!subscribed && !silent) {
             continue;
         }
-        sum.running += it->second.running;
-        sum.prefillTokens += it->second.prefillTokens;
-        sum.kvTokens += it->second.kvTokens;
+        const auto source = m_directSources.find(vm);
+        const bool follows = subscribed && source != m_directSources.end() && source->second.follows == m_members.self().vm;
+        auto &summary = follows ? fleet : brief;
+        if (!summary) {
+            summary = makeSummary(report, follows ? summary_scope::Fleet : summary_scope::Brief, now);
+        }
+        send(summary, peer, out);
+    }
+    if (notify) {
+        m_nextNotice = now + noticeInterval;
+    }
+    std::vector<vm_name> hubs;
+    for (const auto &dataCentre : m_members.dataCentres()) {
+        if (m_isHub && dataCentre != m_members.self().dataCentre) {
+            const auto selection = m_members.select(dataCentre, now);
+            hubs.insert(hubs.end(), selection.hubs.begin(), selection.hubs.end());
+            hubs.insert(hubs.end(), selection.probes.begin(), selection.probes.end());
+        }
+    }
+    // A hub that asked for totals without being one of the first gets them as well.
+    for (const auto &[vm, time] : m_peerHubs) {
+        if (std::find(hubs.begin(), hubs.end(), vm) == hubs.end()) {
+            hubs.push_back(vm);
+        }
+    }
+    const auto totals = hubs.empty() ? nullptr : makeSummary(report, summary_scope::DataCentre, now);
+    for (const auto &vm : hubs) {
+        m_members.onProbe(vm, now);
+        if (const auto *const peer = m_members.find(vm)) {
+            send(totals, *peer, out);
+        }
     }
-    return sum;
 }
 
-std::vector<std::string> fleet_view::addresses() const
+std::size_t fleet_view::heard(time_point now) const
 {
-    std::vector<std::string> result;
-    result.reserve(m_peers.size());
-    std::transform(m_peers.begin(), m_peers.end(), std::back_inserter(result), [](const auto &vmAndPeer) { return vmAndPeer.second.address; });
-    return result;
+    const auto &ownDataCentre = m_members.self().dataCentre;
+    std::size_t count = countsDirect() ? 1 + countDirect(vmSilenceTimeout, now) : 1;
+    for (const auto &[dataCentre, source] : m_remoteSources) {
+        if (now - source.receivedAt < vmSilenceTimeout) {
+            count = dataCentre == ownDataCentre ? static_cast<std::size_t>(std::max(source.heardVms, 1)) : count + static_cast<std::size_t>(source.heardVms);
+        }
+    }
+    return count;
+}
+
+// A silent VM that announced that it leaves has ended and does not count.
+std::size_t fleet_view::members(time_point now) const
+{
+    const auto &ownDataCentre = m_members.self().dataCentre;
+    std::size_t count = countsDirect() ? 1 + countDirect(vmExpiryTimeout, now) : 1;
+    for (const auto &[dataCentre, source] : m_remoteSources) {
+        if (now - source.receivedAt < vmExpiryTimeout) {
+            count = dataCentre == ownDataCentre ? static_cast<std::size_t>(std::max(source.memberVms, 1)) : count + static_cast<std::size_t>(source.memberVms);
+        }
+    }
+    return count;
+}
+
+bool fleet_view::hasHub(time_point now) const
+{
+    const auto *const followed = m_members.find(m_follows);
+    return m_isHub || (followed != nullptr && followed->isLiveHub(now));
+}
+
+endpoint_load fleet_view::loadAt(const endpoint_name &endpoint) const
+{
+    auto load = m_remote.loadAt(endpoint);
+    if (countsDirect()) {
+        const auto direct = m_direct.loadAt(endpoint);
+        load.running += direct.running;
+        load.prefillTokens += direct.prefillTokens;
+        load.kvTokens += direct.kvTokens;
+    }
+    // Sums of reports of different age can be negative for a moment.
+    return {endpoint, std::max(load.running, 0), std::max<std::int64_t>(load.prefillTokens, 0), std::max<std::int64_t>(load.kvTokens, 0)};
 }
 
-std::optional<std::string> fleet_view::addressOfNewerPeer(std::uint64_t configVersion, std::uint64_t directoryPosition, time_point now) const
+std::int32_t fleet_view::waitingAt(const service_name &service) const
 {
-    const auto isAhead = [&](const auto &vmAndPeer) {
-        const auto &entry = vmAndPeer.second;
-        return isHeard(entry, now) && (entry.configVersion > configVersion || entry.directoryPosition > directoryPosition);
-    };
-    const auto it = std::find_if(m_peers.begin(), m_peers.end(), isAhead);
-    return it == m_peers.end() ? std::nullopt : std::optional(it->second.address);
+    return std::max(m_remote.waitingAt(service) + (countsDirect() ? m_direct.waitingAt(service) : 0), 0);
 }
 
 } // namespace plantainpoint
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -1,79 +1,124 @@
-// The state of the other VMs of the fleet, as known from their heartbeats.
+// The state of the other VMs of the fleet. A VM sends heartbeats to the hubs of its data centre and uses the totals of one of them. A hub
+// sums up the heartbeats of its data centre and the summaries of the hubs of the others.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <vector>
 
+#include "fleet_members.hpp"
+#include "fleet_totals.hpp"
 #include "plantainpoint/clock.hpp"
 #include "plantainpoint/relay.hpp"
 
 namespace plantainpoint {
 
 // The interval limits the age of what a VM knows of the work and admissions of the others.
-inline constexpr auto fleetHeartbeatInterval = std::chrono::milliseconds{150};
-// The interval while nothing changes. Three idle heartbeats fit into vmSilenceTimeout.
-inline constexpr auto idleFleetHeartbeatInterval = std::chrono::milliseconds{450};
-// A VM without a heartbeat for this time no longer counts as heard.
-inline constexpr auto vmSilenceTimeout = std::chrono::milliseconds{1500};
-// A VM that is silent for this time has ended or restarts elsewhere, so its share of the limits is free.
-inline constexpr auto vmExpiryTimeout = std::chrono::seconds{6};
-// Heartbeats to a silent VM stop after this time. Until then, a VM that restarts without the directory still learns of the fleet.
-inline constexpr auto vmRemovalTimeout = std::chrono::seconds{90};
+inline constexpr auto fleetMessageInterval = std::chrono::milliseconds{150};
+// Interval of heartbeats while nothing changes. Three of them fit into vmSilenceTimeout.
+inline constexpr auto idleHeartbeatInterval = std::chrono::milliseconds{450};
+
+// What this VM tells the others of itself.
+struct own_report {
+    directory_knowledge knowledge;
+    std::uint64_t changesFrom = 0;
+    std::shared_ptr<const std::string> changes;
+    std::vector<endpoint_load> loads;
+    std::vector<waiting_count> waiting;
+    std::vector<endpoint_name> changingRole;
+    std::vector<account_usage> usage;
+};
 
 class fleet_view
 {
 public:
-    fleet_view(incarnation_id self, std::string address);
+    fleet_view(fleet_member self, std::uint64_t incarnation);
 
     void onMembers(const members_read &members, time_point now);
+    void setLeaving() { m_leaving = true; }
 
-    struct heartbeat_arrival {
-        bool fresh = false; // The heartbeat is neither a duplicate nor older than one that was received before.
-        bool resumed = false; // The heartbeat is the first one after a silence.
+    struct message_arrival {
+        bool fresh = false; // The message is neither a duplicate nor older than one that was received before.
         bool fromNewVm = false; // The sender is new or has restarted.
+        std::vector<account_usage> admitted; // Units that other VMs have admitted, to be debited.
     };
-    heartbeat_arrival onFleetHeartbeat(const fleet_heartbeat &heartbeatMessage, time_point now);
+    message_arrival on(const fleet_heartbeat &heartbeatMessage, time_point now);
+    message_arrival on(const fleet_summary &summary, time_point now);
 
-    // Removes the VMs that have been silent for vmRemovalTimeout.
-    void tick(time_point now);
+    // Sends the messages that are due.
+    void exchange(const own_report &report, time_point now, std::vector<relay_command> &out);
 
-    // Returns the number of VMs heard recently that do not leave, including this one.
+    // Returns the number of VMs whose admissions reach this VM, including this one.
     std::size_t heard(time_point now) const;
     // Returns the number of VMs that may be running, including this one.
     std::size_t members(time_point now) const;
-
-    // Returns the lowest name of the VMs that are heard and do not leave, including this one.
-    vm_name lowest(time_point now) const;
-
-    // Returns the load that the other VMs put on an endpoint.
-    endpoint_load loadAt(const endpoint_name &endpoint, time_point now) const;
-
-    // Returns the addresses that heartbeats are sent to.
-    std::vector<std::string> addresses() const;
-
-    // Returns the address of any VM whose configuration or directory is newer. The VMs are not ordered by distance.
-    std::optional<std::string> addressOfNewerPeer(std::uint64_t configVersion, std::uint64_t directoryPosition, time_point now) const;
+    // Returns whether this VM comes before all VMs that it hears. It reads the directory and orders role changes for the fleet.
+    bool leads(time_point now) const { return m_members.leads(now); }
+    bool isHub() const { return m_isHub; }
+    // Returns whether a hub of this data centre, this VM included, is known.
+    bool hasHub(time_point now) const;
+    // Returns the hub whose totals are used, or an empty name.
+    const vm_name &followed() const { return m_follows; }
+
+    // Return the load that the other VMs put on an endpoint, and their requests that wait for a service.
+    endpoint_load loadAt(const endpoint_name &endpoint) const;
+    std::int32_t waitingAt(const service_name &service) const;
 
 private:
-    struct peer {
-        std::string address;
-        std::uint64_t incarnation = 0;
+    // Totals of another data centre, or of the whole fleet at a VM that follows a hub.
+    struct remote_source {
+        vm_name hub;
+        bool settled = false;
+        time_point receivedAt{};
+        std::int32_t heardVms = 0;
+        std::int32_t memberVms = 0;
+        std::vector<endpoint_name> changingRole;
+        usage_tracker usage;
+    };
+    struct sent_heartbeat {
         std::uint64_t sequence = 0;
-        std::optional<time_point> heardAt;
-        time_point knownSince{};
-        bool leaving = false;
-        std::uint64_t configVersion = 0;
-        std::uint64_t directoryPosition = 0;
-        std::map<endpoint_name, endpoint_load> loads;
+        std::shared_ptr<const fleet_heartbeat> content;
+    };
+    struct direct_source {
+        usage_tracker usage;
+        std::vector<endpoint_name> changingRole;
+        vm_name follows;
     };
 
-    static bool isHeard(const peer &entry, time_point now);
-
-    incarnation_id m_self;
-    std::string m_address;
-    std::map<vm_name, peer> m_peers;
+    // Returns whether heartbeats that arrive here are counted. The totals of a followed hub contain them already.
+    bool countsDirect() const { return m_isHub || m_follows.empty(); }
+    bool replaceSource(const fleet_summary &summary, time_point now);
+    std::vector<account_usage> applyTotals(const fleet_summary &summary, const sent_heartbeat *own, time_point now);
+    const sent_heartbeat *findSent(const fleet_summary &summary) const;
+    void setRole(const hub_selection &selection, time_point now);
+    void expireSources(time_point now);
+    void sendHeartbeats(const own_report &report, const hub_selection &selection, time_point now, std::vector<relay_command> &out);
+    void sendSummaries(const own_report &report, time_point now, std::vector<relay_command> &out);
+    void send(const std::shared_ptr<const fleet_summary> &summary, const fleet_peer &receiver, std::vector<relay_command> &out) const;
+    std::shared_ptr<fleet_summary> makeSummary(const own_report &report, summary_scope scope, time_point now) const;
+    std::size_t countDirect(duration silence, time_point now) const;
+
+    std::uint64_t m_incarnation;
+    fleet_members m_members;
+    fleet_totals m_direct; // From heartbeats of this data centre.
+    fleet_totals m_remote; // From summaries.
+    std::map<vm_name, direct_source> m_directSources;
+    std::map<data_centre_name, remote_source> m_remoteSources;
+    std::map<vm_name, time_point> m_peerHubs; // Hubs of other data centres that sent totals, with the time of the last ones.
+    std::deque<sent_heartbeat> m_sentHeartbeats;
+    time_point m_lastHeartbeatAt{};
+    std::vector<vm_name> m_lastReceivers;
+    std::uint64_t m_heartbeatSequence = 0;
+    std::uint64_t m_summarySequence = 0;
+    std::vector<account_usage> m_dataCentreUsage; // Admissions reported by heartbeats since the start.
+    std::vector<account_usage> m_fleetUsage; // Admissions reported by heartbeats and by other data centres since the start.
+    vm_name m_follows;
+    bool m_isHub = false;
+    bool m_leaving = false;
+    std::optional<time_point> m_hubSince;
+    time_point m_nextNotice{};
 };
 
 } // namespace plantainpoint
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -43,7 +43,7 @@
              .memoryFill = settings.memoryFill,
              .heldOutputFraction = settings.heldOutputFraction,
              .directPrefillLimit = settings.directPrefillLimit}
-    , fleet(settings.self, settings.peerAddress)
+    , fleet({settings.self.vm, settings.peerAddress, settings.dataCentre, settings.capacity}, settings.self.number)
     , limiter(settings.limitTolerance)
     , planner(settings.self.vm, {settings.prefillShare, settings.orderLease})
 {
@@ -152,7 +152,13 @@
 placement_context relay_requests::context(const relay_entry &entry) const
 {
     return {
-        m_components.fleet, m_components.settings.dataCentre, m_components.speeds, m_components.clock.now(), entry.triedEndpoints, entry.route->gapObjective};
+        m_components.fleet,
+        m_components.settings.dataCentre,
+        m_components.speeds,
+        m_components.clock.now(),
+        entry.triedEndpoints,
+        entry.route->gapObjective,
+        stableHash(entry.request.payload->id)};
 }
 
 bool relay_requests::place(relay_entry &entry)
@@ -233,7 +239,7 @@
         slots += candidate->info.slots;
         holdTime = std::max(holdTime, candidate->endpointStatistics.meanHoldTime());
     }
-    const auto requestsAhead = static_cast<std::int64_t>((queue.size() + 1) * m_components.fleet.heard(now));
+    const auto requestsAhead = static_cast<std::int64_t>(queue.size()) + 1 + m_components.fleet.waitingAt(entry.service);
     const auto expected = holdTime * requestsAhead / slots;
     if (expected > std::chrono::duration_cast<duration>((callerDeadlineOf(entry) - now) * maxWaitFraction)) {
         failRequest(entry, failure::Overloaded, outcome::NotRun, "the expected wait for an endpoint is " + millisText(expected) + " ms");
@@ -306,6 +312,17 @@
     return std::min(entry.deadline, (entry.headSent ? entry.lastPartAt : entry.arrivedAt) + gap);
 }
 
+std::vector<waiting_count> relay_requests::waitingByService() const
+{
+    std::vector<waiting_count> counts;
+    for (const auto &[service, queue] : m_waiting) {
+        if (!queue.empty()) {
+            counts.push_back({service, static_cast<std::int32_t>(queue.size())});
+        }
+    }
+    return counts;
+}
+
 std::size_t relay_requests::waiting() const
 {
     std::size_t count = 0;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "directory_follower.hpp"
 #include "relay_requests.hpp"
 
 namespace plantainpoint {
@@ -12,6 +13,17 @@
 
 constexpr duration maxTickInterval = std::chrono::milliseconds{500};
 constexpr duration fetchInterval = std::chrono::milliseconds{300}; // Pause between two transfers of state from other VMs.
+constexpr duration membersReadInterval = std::chrono::seconds{3}; // Longer than the search for a hub among the known VMs.
+// Changes are repeated for this time, so that a lost summary delays them only.
+constexpr duration changesRepeatTime = std::chrono::milliseconds{700};
+constexpr std::size_t maxFetchedConfigSize = 64 * 1024UL; // Bytes. Larger configurations are read from the directory.
+
+// Returns the age in milliseconds, or null without a proof.
+nlohmann::json proofAgeOf(const directory_follower &follower, time_point now)
+{
+    const auto age = follower.proofAge(now);
+    return age ? nlohmann::json(std::chrono::duration_cast<std::chrono::milliseconds>(*age).count()) : nlohmann::json();
+}
 
 } // namespace
 
@@ -19,13 +31,16 @@
     state(relay_settings settings, const clock_source &clock)
         : components(std::move(settings), clock)
         , requests(components)
+        , follower(components.settings.directoryInterval, components.settings.directoryBound, stableHash(components.settings.self.vm.value))
     {
     }
 
     void on(const configuration_read &read);
     void on(const directory_read &read);
-    void on(const directory_reachable &change);
+    void on(const directory_read_finished &finished);
+    void on(const directory_state &state) { directoryState = state; components.endpoints.onUnchanged(state.position); }
     void on(const fleet_heartbeat &heartbeatMessage);
+    void on(const fleet_summary &summary);
     void on(const members_read &read);
     void on(const shutdown_requested &message);
     void on(const order_log_read &read) { components.planner.on(read, components.clock.now(), components.commands); }
@@ -37,18 +52,26 @@
         requests.on(std::move(message));
     }
 
-    void sendFleetHeartbeats(time_point now);
-    void fetchWhenBehind(time_point now);
+    void onMessage(const fleet_view::message_arrival &arrival, const vm_name &vm, const std::string &address);
+    void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
+    void onSummaryOfDirectory(const fleet_summary &summary);
+    own_report report(time_point now) const;
+    void exchangeFleetMessages(time_point now);
+    void readDirectory(time_point now);
+    directory_role directoryRole(time_point now) const;
     void planRoles(time_point now);
     void stopWhenIdle(time_point now);
 
     relay_components components;
     relay_requests requests;
-    std::uint64_t heartbeatSequence = 0;
-    time_point nextHeartbeat{};
+    directory_follower follower;
+    directory_state directoryState;
+    time_point lastChangeAt{}; // Time at which this VM learned of the newest change of an endpoint.
+    std::uint64_t lastChange = 0; // The position after that change.
+    directory_role lastRole = directory_role::Follower;
+    time_point nextExchange{};
     time_point nextFetch{};
-    std::optional<fleet_heartbeat> lastHeartbeat;
-    time_point lastHeartbeatAt{};
+    time_point nextMembersRead{};
     std::optional<time_point> shutdownAt;
     bool stopAcceptingSent = false;
     bool stoppedSent = false;
@@ -70,6 +93,10 @@
 
 void relay_core::state::on(const directory_read &read)
 {
+    // Entries that lapsed in an outage arrive with the first read after it.
+    if (!read.imported && !components.endpoints.reachable()) {
+        components.endpoints.onReachable(true, components.clock.now());
+    }
     const auto changed = components.endpoints.onRead(read, components.clock.now());
     for (const auto &name : changed) {
         const auto *const entry = components.endpoints.find(name);
@@ -87,36 +114,91 @@
     }
 }
 
-void relay_core::state::on(const directory_reachable &change)
+void relay_core::state::on(const directory_read_finished &finished)
+{
+    const auto now = components.clock.now();
+    const bool before = components.endpoints.reachable();
+    follower.onReadFinished(finished.succeeded, now);
+    const bool reachable = finished.succeeded || follower.reachable(now);
+    components.endpoints.onReachable(reachable, now);
+    if (reachable != before) {
+        components.logMessage(severity::Warning, log_component::Log, reachable ? "the directory answers again" : "the directory does not answer");
+    }
+}
+
+void relay_core::state::onMessage(const fleet_view::message_arrival &arrival, const vm_name &vm, const std::string &address)
 {
-    if (change.reachable != components.endpoints.reachable()) {
-        components.logMessage(severity::Warning, log_component::Log, change.reachable ? "the directory answers again" : "the directory does not answer");
+    ++components.metrics.heartbeatsReceived;
+    components.limiter.debit(arrival.admitted, components.clock.now());
+    if (arrival.fromNewVm) {
+        components.logMessage(severity::Info, log_component::Member, "vm=" + vm.value + " heard address=" + address);
     }
-    components.endpoints.onReachable(change.reachable, components.clock.now());
 }
 
 void relay_core::state::on(const fleet_heartbeat &heartbeatMessage)
 {
-    const auto now = components.clock.now();
-    const auto arrival = components.fleet.onFleetHeartbeat(heartbeatMessage, now);
+    const auto arrival = components.fleet.on(heartbeatMessage, components.clock.now());
     if (!arrival.fresh) {
         return;
     }
-    ++components.metrics.heartbeatsReceived;
-    if (arrival.fromNewVm) {
-        components.logMessage(severity::Info, log_component::Member, "vm=" + heartbeatMessage.from.vm.value + " heard address=" + heartbeatMessage.address);
-        nextHeartbeat = now;
-        lastHeartbeat.reset();
+    onMessage(arrival, heartbeatMessage.from.vm, heartbeatMessage.address);
+    components.endpoints.onRoleChange(heartbeatMessage.changingRole, components.clock.now());
+    onKnowledge(heartbeatMessage.knowledge, heartbeatMessage.address);
+}
+
+void relay_core::state::on(const fleet_summary &summary)
+{
+    const auto arrival = components.fleet.on(summary, components.clock.now());
+    if (!arrival.fresh) {
+        return;
+    }
+    onMessage(arrival, summary.from.vm, summary.address);
+    components.endpoints.onRoleChange(summary.changingRole, components.clock.now());
+    components.endpoints.onReannouncing(summary.knowledge.reannounceLeft, components.clock.now());
+    onSummaryOfDirectory(summary);
+    onKnowledge(summary.knowledge, summary.address);
+}
+
+// Applies changes of endpoints that came with the summary if no earlier change is missing here.
+void relay_core::state::onSummaryOfDirectory(const fleet_summary &summary)
+{
+    const auto &endpoints = components.endpoints;
+    const auto position = endpoints.position();
+    if (summary.changes && endpoints.known() && position < summary.knowledge.lastChange && position >= summary.changesFrom) {
+        components.commands.push_back(import_directory_changes{summary.changes, summary.knowledge.position});
+    }
+}
+
+// Takes over the sender's proof of the directory if nothing is missing here, and fetches what is missing otherwise.
+void relay_core::state::onKnowledge(const directory_knowledge &knowledge, const std::string &address)
+{
+    auto &endpoints = components.endpoints;
+    const auto now = components.clock.now();
+    endpoints.onReannouncing(knowledge.reannounceLeft, now);
+    const bool configBehind = knowledge.configPosition > directoryState.configPosition;
+    const bool endpointsBehind = knowledge.lastChange > endpoints.position();
+    if (!configBehind && !endpointsBehind) {
+        if (knowledge.proofAge && components.routes && endpoints.known()) {
+            endpoints.onUnchanged(knowledge.position);
+            if (follower.onProof(now - *knowledge.proofAge)) {
+                endpoints.onReadElsewhere();
+            }
+        }
+        return;
+    }
+    // A hub cannot send a large configuration to all of its VMs in time.
+    if (configBehind && knowledge.configSize > maxFetchedConfigSize && endpoints.reachable()) {
+        follower.expedite();
+    } else if (now >= nextFetch) {
+        nextFetch = now + fetchInterval;
+        components.commands.push_back(fetch_fleet_state{address});
     }
-    components.limiter.onFleetHeartbeat(heartbeatMessage, arrival.resumed, now);
-    components.endpoints.onRoleChange(heartbeatMessage.changingRole, now);
 }
 
 void relay_core::state::on(const members_read &read)
 {
     components.fleet.onMembers(read, components.clock.now());
-    nextHeartbeat = components.clock.now();
-    lastHeartbeat.reset();
+    nextExchange = components.clock.now();
 }
 
 void relay_core::state::on(const shutdown_requested & /*message*/)
@@ -126,54 +208,72 @@
     }
     components.shuttingDown = true;
     shutdownAt = components.clock.now();
-    lastHeartbeat.reset();
-    nextHeartbeat = *shutdownAt;
+    components.fleet.setLeaving();
+    nextExchange = *shutdownAt;
     components.logMessage(severity::Info, log_component::Core, "shutdown requested open=" + std::to_string(requests.open()));
 }
 
-void relay_core::state::sendFleetHeartbeats(time_point now)
+own_report relay_core::state::report(time_point now) const
 {
-    if (now < nextHeartbeat) {
-        return;
+    own_report result{.knowledge = {.configPosition = directoryState.configPosition,
+                                    .configSize = directoryState.configSize,
+                                    .position = components.endpoints.position(),
+                                    .lastChange = directoryState.lastChange,
+                                    .proofAge = follower.proofAge(now),
+                                    .reannounceLeft = components.endpoints.reannounceLeft(now)},
+                      .loads = components.endpoints.ownLoads(),
+                      .waiting = requests.waitingByService(),
+                      .changingRole = components.planner.ordered(components.endpoints, now),
+                      .usage = components.limiter.usage()};
+    if (now - lastChangeAt < changesRepeatTime) {
+        result.changesFrom = directoryState.changesFrom;
+        result.changes = directoryState.changes;
     }
-    nextHeartbeat = now + fleetHeartbeatInterval;
-    components.fleet.tick(now);
-    components.limiter.setVisibility(components.fleet.heard(now), components.fleet.members(now));
-    auto heartbeatMessage = std::make_shared<fleet_heartbeat>(fleet_heartbeat{.from = components.settings.self,
-                                                                              .sequence = heartbeatSequence + 1,
-                                                                              .address = components.settings.peerAddress,
-                                                                              .configVersion = components.routes ? components.routes->version() : 0,
-                                                                              .directoryPosition = components.endpoints.position(),
-                                                                              .leaving = components.shuttingDown,
-                                                                              .loads = components.endpoints.ownLoads(),
-                                                                              .changingRole = components.planner.ordered(components.endpoints, now),
-                                                                              .usage = components.limiter.usage()});
-    // Fetches the state of another VM while the directory is unreachable here, as others may still follow it.
-    if (lastHeartbeat && lastHeartbeat->loads == heartbeatMessage->loads && lastHeartbeat->changingRole == heartbeatMessage->changingRole
-        && lastHeartbeat->usage == heartbeatMessage->usage && lastHeartbeat->configVersion == heartbeatMessage->configVersion
-        && now - lastHeartbeatAt < idleFleetHeartbeatInterval) {
+    return result;
+}
+
+void relay_core::state::exchangeFleetMessages(time_point now)
+{
+    if (directoryState.lastChange != lastChange) {
+        lastChange = directoryState.lastChange;
+        lastChangeAt = now;
+        nextExchange = now;
+    }
+    if (now < nextExchange) {
         return;
     }
-    lastHeartbeat = *heartbeatMessage;
-    lastHeartbeatAt = now;
-    ++heartbeatSequence;
-    for (auto &address : components.fleet.addresses()) {
-        ++components.metrics.heartbeatsSent;
-        components.commands.push_back(send_heartbeat{std::move(address), heartbeatMessage});
+    nextExchange = now + fleetMessageInterval;
+    components.limiter.setVisibility(components.fleet.heard(now), components.fleet.members(now));
+    const auto before = components.commands.size();
+    components.fleet.exchange(report(now), now, components.commands);
+    components.metrics.heartbeatsSent += components.commands.size() - before;
+}
+
+directory_role relay_core::state::directoryRole(time_point now) const
+{
+    if (components.fleet.leads(now)) {
+        return directory_role::Reader;
     }
+    return components.fleet.isHub() ? directory_role::StandBy : directory_role::Follower;
 }
 
-// Requests the state of a VM that is ahead if the directory is unreachable, or no configuration or endpoints are known yet. Other VMs may
-// still reach the directory.
-void relay_core::state::fetchWhenBehind(time_point now)
+void relay_core::state::readDirectory(time_point now)
 {
-    if (now < nextFetch || (components.endpoints.reachable() && components.routes && components.endpoints.known())) {
-        return;
+    const auto role = directoryRole(now);
+    if (role != lastRole) {
+        lastRole = role;
+        components.logMessage(severity::Info, log_component::Member, "role=" + std::string(nameOf(role)));
     }
-    nextFetch = now + fetchInterval;
-    const auto address = components.fleet.addressOfNewerPeer(components.routes ? components.routes->version() : 0, components.endpoints.position(), now);
-    if (address) {
-        components.commands.push_back(fetch_fleet_state{*address});
+    if (follower.startRead(role, now)) {
+        components.commands.push_back(read_directory{components.endpoints.position()});
+    }
+    // The known VMs of this data centre may all have been replaced.
+    if (!components.fleet.hasHub(now) && now >= nextMembersRead) {
+        const bool firstCall = nextMembersRead == time_point{};
+        nextMembersRead = now + membersReadInterval;
+        if (!firstCall) {
+            components.commands.push_back(read_members{});
+        }
     }
 }
 
@@ -223,8 +323,8 @@
     m_state->requests.tick(now);
     m_state->requests.placeWaiting();
     m_state->components.endpoints.tick(now);
-    m_state->sendFleetHeartbeats(now);
-    m_state->fetchWhenBehind(now);
+    m_state->exchangeFleetMessages(now);
+    m_state->readDirectory(now);
     m_state->planRoles(now);
     m_state->stopWhenIdle(now);
 }
@@ -237,7 +337,7 @@
 time_point relay_core::nextTick() const
 {
     const auto now = m_state->components.clock.now();
-    auto next = std::min(m_state->nextHeartbeat, now + maxTickInterval);
+    auto next = std::min(m_state->nextExchange, now + maxTickInterval);
     const auto wakeup = m_state->requests.nextWakeup();
     return wakeup ? std::min(next, *wakeup) : next;
 }
@@ -268,6 +368,9 @@
             {"endpoints", components.endpoints.size()},
             {"vms_heard", components.fleet.heard(now)},
             {"vms", components.fleet.members(now)},
+            {"role", nameOf(m_state->directoryRole(now))},
+            {"follows", components.fleet.followed().value},
+            {"directory_proof_age_ms", proofAgeOf(m_state->follower, now)},
             {"open_requests", m_state->requests.open()},
             {"waiting_requests", m_state->requests.waiting()},
             {"ready", ready()}};
@@ -282,6 +385,7 @@
     result["config_version"] = configVersion();
     result["directory_reachable"] = m_state->components.endpoints.reachable();
     result["vms_heard"] = m_state->components.fleet.heard(now);
+    result["hub"] = m_state->components.fleet.isHub();
     return result;
 }
 
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -164,7 +164,7 @@
     }
     if (endpoint != nullptr) {
         const auto own = endpoint->ownLoad();
-        const auto others = m_components.fleet.loadAt(attempt.endpoint, m_components.clock.now());
+        const auto others = m_components.fleet.loadAt(attempt.endpoint);
         text += " own=" + std::to_string(own.running) + '/' + std::to_string(own.kvTokens) + " others=" + std::to_string(others.running) + '/'
                 + std::to_string(others.kvTokens);
     }
@@ -269,7 +269,7 @@
     auto excluded = entry.triedEndpoints;
     excluded.insert(entry.attempt->endpoint);
     auto current = context(entry);
-    const placement_context elsewhere{current.fleet, current.dataCentre, current.speeds, current.now, excluded, current.maxEventGap};
+    const placement_context elsewhere{current.fleet, current.dataCentre, current.speeds, current.now, excluded, current.maxEventGap, current.spreadSeed};
     if (!isModelRequest(entry)) {
         return choosePlain(plainCandidates(entry.service), elsewhere) != nullptr;
     }
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -28,6 +28,17 @@
 constexpr std::int64_t prefillChunk = 2048; // Tokens that an engine reads between two tokens of other requests.
 constexpr duration modelOverdueTime = milliseconds{1500}; // A first event that is not there by then is overdue.
 
+// Both spreads are smaller than the penalty of another data centre.
+constexpr double plainSpread = 0.15; // In units of a full endpoint.
+constexpr double modelSpreadMs = 3.5;
+
+// Returns a number from 0 to 1 that differs for each request and endpoint.
+double spreadOf(const endpoint_entry &entry, const placement_context &context)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(stableHash(entry.info.name.value, context.spreadSeed) % steps) / steps;
+}
+
 bool isOverdue(const endpoint_entry &entry, duration minimum, time_point now)
 {
     const auto expected = std::chrono::duration_cast<duration>(entry.endpointStatistics.meanTime() * overdueFactor);
@@ -45,6 +56,7 @@
     cost += entry.info.dataCentre == context.dataCentre ? 0 : remotePenalty;
     cost += failurePenalty * entry.endpointStatistics.failureRatio(context.now);
     cost += isOverdue(entry, minOverdueTime, context.now) ? overduePenalty : 0;
+    cost += plainSpread * spreadOf(entry, context);
     return cost;
 }
 
@@ -54,6 +66,7 @@
     double delay = entry.info.dataCentre == context.dataCentre ? 0 : remoteDelayMs;
     delay += failureDelayMs * entry.endpointStatistics.failureRatio(context.now);
     delay += isOverdue(entry, modelOverdueTime, context.now) ? overdueDelayMs : 0;
+    delay += modelSpreadMs * spreadOf(entry, context);
     return delay;
 }
 
@@ -66,7 +79,7 @@
 engine_load loadOf(const endpoint_entry &entry, const placement_context &context)
 {
     const auto own = entry.ownLoad();
-    const auto others = context.fleet.loadAt(entry.info.name, context.now);
+    const auto others = context.fleet.loadAt(entry.info.name);
     return {own.running + others.running, own.prefillTokens + others.prefillTokens, own.kvTokens + others.kvTokens};
 }
 
@@ -162,7 +175,7 @@
     endpoint_entry *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     for (auto *entry : candidates) {
-        const auto running = static_cast<std::int32_t>(entry->open.size()) + context.fleet.loadAt(entry->info.name, context.now).running;
+        const auto running = static_cast<std::int32_t>(entry->open.size()) + context.fleet.loadAt(entry->info.name).running;
         if (!eligible(*entry, context) || running >= entry->info.slots * plainQueueFactor) {
             continue;
         }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -109,6 +109,7 @@
     std::optional<time_point> nextWakeup() const;
     std::size_t open() const { return m_entries.size(); }
     std::size_t waiting() const;
+    std::vector<waiting_count> waitingByService() const;
 
 private:
     using entry_ptr = std::unique_ptr<relay_entry>;
--- a/src/role_planner.cpp
+++ b/src/role_planner.cpp
@@ -35,7 +35,7 @@
 
 bool role_planner::isLeader(const fleet_view &fleet, time_point now)
 {
-    if (fleet.lowest(now) != m_self) {
+    if (!fleet.leads(now)) {
         m_leaderSince.reset();
         return false;
     }
--- a/src/role_planner.hpp
+++ b/src/role_planner.hpp
@@ -12,7 +12,7 @@
 
 namespace plantainpoint {
 
-// Plans role changes. Only one VM sends orders at a time: the one with the lowest name among those that are heard. Each order is first
+// Plans role changes. Only one VM sends orders at a time: the one that comes first among those that are heard. Each order is first
 // appended to the order log, and its offset is the fencing number. A VM that finds another VM's record at the end of the log waits until
 // that VM's lease has expired.
 class role_planner
--- a/test/fleet_limiter_test.cpp
+++ b/test/fleet_limiter_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fleet_limiter.hpp"
+#include "fleet_totals.hpp"
 
 using namespace plantainpoint;
 using std::chrono::milliseconds;
@@ -13,11 +14,6 @@
     return {.name = {"acme"}, .rate = rate, .burst = burst};
 }
 
-fleet_heartbeat heartbeatOf(const fleet_limiter &limiter, const std::string &vm, std::uint64_t incarnation, std::uint64_t sequence)
-{
-    return {.from = {{vm}, incarnation}, .sequence = sequence, .usage = limiter.usage()};
-}
-
 struct limiter_fixture {
     limiter_fixture()
     {
@@ -36,14 +32,15 @@
     }
     void exchangeHeartbeats()
     {
-        limiterB.onFleetHeartbeat(heartbeatOf(limiterA, "vm-a", 1, ++sequence), false, now);
-        limiterA.onFleetHeartbeat(heartbeatOf(limiterB, "vm-b", 1, ++sequence), false, now);
+        limiterB.debit(trackerOfA.onReport({{"vm-a"}, 1}, limiterA.usage(), false), now);
+        limiterA.debit(trackerOfB.onReport({{"vm-b"}, 1}, limiterB.usage(), false), now);
     }
 
     time_point now{std::chrono::hours{1}};
     fleet_limiter limiterA;
     fleet_limiter limiterB;
-    std::uint64_t sequence = 0;
+    usage_tracker trackerOfA;
+    usage_tracker trackerOfB;
 };
 
 } // namespace
@@ -94,7 +91,7 @@
     restarted.setAccounts({accountWith(100, 100)}, now);
     now += milliseconds{1000};
     restarted.admit({"acme"}, 10, now);
-    limiterB.onFleetHeartbeat(heartbeatOf(restarted, "vm-a", 2, 1), false, now);
+    limiterB.debit(trackerOfA.onReport({{"vm-a"}, 2}, restarted.usage(), false), now);
     BOOST_TEST(admitUntilRefused(limiterB, 10) == 9);
 }
 
@@ -102,7 +99,7 @@
 BOOST_AUTO_TEST_CASE(resumedHeartbeatsDebitOnlyNewAdmissions)
 {
     admitUntilRefused(limiterA, 10);
-    limiterB.onFleetHeartbeat(heartbeatOf(limiterA, "vm-a", 1, 1), true, now);
+    limiterB.debit(trackerOfA.onReport({{"vm-a"}, 1}, limiterA.usage(), true), now);
     BOOST_TEST(admitUntilRefused(limiterB, 10) == 10);
 }
 
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -172,10 +172,16 @@
 // Guards against member records that other VMs cannot read, and against malformed ones being accepted.
 BOOST_AUTO_TEST_CASE(memberRecordsRoundTrip)
 {
-    BOOST_TEST(decodeMember(encodeMember("10.0.0.1:7500")).value_or("") == "10.0.0.1:7500");
-    BOOST_TEST(!decodeMember("{}"));
-    BOOST_TEST(!decodeMember(R"({"address":"nowhere"})"));
-    BOOST_TEST(!decodeMember("\xff"));
+    const fleet_member member{{"vm-1"}, "10.0.0.1:7500", {"dc-a"}, 120};
+    const auto decoded = decodeMember("vm-1", encodeMember(member));
+    BOOST_TEST((decoded == member));
+    // An entry of an earlier version has an address only.
+    const auto old = decodeMember("vm-2", R"({"address":"10.0.0.1:7500"})");
+    BOOST_REQUIRE(old.has_value());
+    BOOST_TEST((*old == fleet_member{{"vm-2"}, "10.0.0.1:7500", {}, 0}));
+    BOOST_TEST(!decodeMember("vm-1", "{}"));
+    BOOST_TEST(!decodeMember("vm-1", R"({"address":"nowhere"})"));
+    BOOST_TEST(!decodeMember("vm-1", "\xff"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform_fuzz_test.cpp
+++ b/test/platform_fuzz_test.cpp
@@ -5,7 +5,7 @@
 #include <limits>
 #include <random>
 
-#include "heartbeat_codec.hpp"
+#include "fleet_codec.hpp"
 #include "http_dialect.hpp"
 #include "platform_bytes.hpp"
 #include "relay_fixture.hpp"
@@ -172,33 +172,45 @@
         BOOST_TEST(sizeOf(decodeLogPage(bytes)) <= bytes.size(), "log page, seed " << seed);
         const auto text = mutate(newestPage);
         BOOST_TEST(sizeOf(decodeNewestPage(text)) <= text.size(), "newest page, seed " << seed);
-        (void)decodeMember(mutate(encodeMember("10.0.0.1:7000")));
+        (void)decodeMember("vm-1", mutate(encodeMember({{"vm-1"}, "10.0.0.1:7000", {"dc-a"}, 120})));
+        (void)decodeChanges(mutate(encodeChanges({{7, {"w-1", "{}"}}, {8, {"w-2", std::nullopt}}})));
         (void)decodeAppendedOffset(mutate(R"({"offset":7})"));
         (void)decodeFirstOffset(mutate(R"({"first":7})"));
     }
 }
 
 // Guards against a heartbeat of a faulty or unrelated sender that breaks the core.
-BOOST_AUTO_TEST_CASE(mutatedHeartbeatsDoNotBreakTheCore)
+BOOST_AUTO_TEST_CASE(mutatedFleetMessagesDoNotBreakTheCore)
 {
     const fleet_heartbeat heartbeatMessage{.from = {{"vm-2"}, 3},
                                            .sequence = 4,
                                            .address = "127.0.0.1:7001",
-                                           .configVersion = 1,
-                                           .directoryPosition = 2,
+                                           .dataCentre = {"dc-a"},
+                                           .knowledge = {.configPosition = 1, .position = 2},
                                            .loads = {{{"desk-1"}, {}}},
                                            .usage = {}};
+    const fleet_summary summary{.from = {{"vm-2"}, 3},
+                                .sequence = 4,
+                                .address = "127.0.0.1:7001",
+                                .dataCentre = {"dc-a"},
+                                .scope = summary_scope::Fleet,
+                                .knowledge = {.configPosition = 1, .position = 2, .lastChange = 2},
+                                .heardVms = 2,
+                                .memberVms = 2,
+                                .candidates = {heartbeatMessage.member()},
+                                .loads = {{{"desk-1"}, {}}}};
+    const auto summaryBytes = encodeSummary(encodeSummaryBody(summary), 1, 1);
     int accepted = 0;
     for (std::uint32_t seed = 1; seed <= runsPerCase; ++seed) {
         mutator mutate(seed);
-        const auto decoded = decodeHeartbeat(mutate(encodeHeartbeat(heartbeatMessage)));
+        const auto decoded = decodeFleetMessage(mutate(seed % 2 == 0 ? encodeHeartbeat(heartbeatMessage) : summaryBytes));
         if (!decoded.ok()) {
             continue;
         }
         ++accepted;
         test::relay_fixture relay;
         relay.configureDesks();
-        relay.core.handle(*decoded);
+        std::visit([&](const auto &message) { relay.core.handle(message); }, *decoded);
         runSampleRequests(relay);
     }
     BOOST_TEST(accepted > runsPerCase / 50);
--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -118,7 +118,7 @@
         with open(path, "w") as settings_file:
             settings_file.write(
                 f"vm: {name}\ndata_centre: dc-a\nlisten: {HOST}:{ports[0]}\nready: {HOST}:{ports[1]}\npeer: {HOST}:{ports[2]}\n"
-                f"directory: {HOST}:{self.store_port}\ndirectory_interval: 100ms\nengines:\n  direct_limit: 0ms\n"
+                f"directory: {HOST}:{self.store_port}\nreading:\n  interval: 100ms\nengines:\n  direct_limit: 0ms\n"
             )
         self.relays[name] = (self.spawn("plantainpoint-relay", ["--settings", path], output), ports)
 
--- a/test/relay_core_test.cpp
+++ b/test/relay_core_test.cpp
@@ -378,7 +378,7 @@
     beginStream(stream);
     streamPart(stream, "id: 1\ndata: a\n\n");
     const auto otherEndpoint = stream.endpoint.value == "dec-1" ? "dec-2" : "dec-1";
-    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .loads = {{.endpoint = {otherEndpoint}, .running = 2}}});
+    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}, .loads = {{.endpoint = {otherEndpoint}, .running = 2}}});
     collect();
     advance(milliseconds{800});
     BOOST_TEST(abortedAttempts.empty());
@@ -430,22 +430,31 @@
 BOOST_AUTO_TEST_CASE(stateIsFetchedFromAVmThatIsAhead)
 {
     configureDesks();
-    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .configVersion = 9, .directoryPosition = 50});
+    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}, .knowledge = {.position = 50}});
     advance(milliseconds{200});
-    BOOST_TEST(fetchAddresses.empty()); // The VM's own directory is reachable.
-    core.handle(directory_reachable{false});
+    BOOST_TEST(fetchAddresses.empty()); // No endpoint has changed up to the sender's position.
+    core.handle(fleet_heartbeat{
+        .from = {{"vm-2"}, 5}, .sequence = 2, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}, .knowledge = {.position = 60, .lastChange = 55}});
     advance(milliseconds{200});
     BOOST_REQUIRE_EQUAL(fetchAddresses.size(), 1);
     BOOST_TEST(fetchAddresses[0] == "127.0.0.1:7002");
+    advance(milliseconds{400});
+    core.handle(
+        fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 3, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}, .knowledge = {.configPosition = 9}});
+    collect();
+    BOOST_TEST(fetchAddresses.size() == 2);
 }
 
 // Guards against endpoints that are dropped because their entries expired while the directory was unreachable.
 BOOST_AUTO_TEST_CASE(entriesThatExpiredInAnOutageAreKeptForAWhile)
 {
     configureDesks();
-    core.handle(directory_reachable{false});
-    clock.advance(std::chrono::seconds{5});
-    core.handle(directory_reachable{true});
+    for (int i = 0; i < 2; ++i) {
+        advance(milliseconds{2500});
+        core.handle(directory_read_finished{false});
+    }
+    advance(milliseconds{300});
+    core.handle(directory_read_finished{true});
     announce({});
     sendRequest("/lookup/1");
     BOOST_TEST(dispatches.size() == 1);
@@ -476,7 +485,7 @@
 BOOST_AUTO_TEST_CASE(workOfOtherVmsIsCounted)
 {
     configureDesks();
-    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .loads = {{.endpoint = {"desk-1"}, .running = 2}}});
+    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}, .loads = {{.endpoint = {"desk-1"}, .running = 2}}});
     sendRequest("/lookup/1");
     BOOST_TEST(dispatches.back().endpoint.value == "desk-2");
 }
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -161,6 +161,8 @@
                 isStopped = true;
             } else if (auto *const heartbeatMessage = std::get_if<send_heartbeat>(&each)) {
                 heartbeatMessages.push_back(*heartbeatMessage);
+            } else if (std::holds_alternative<read_directory>(each)) {
+                ++directoryReads;
             } else if (auto *const fetch = std::get_if<fetch_fleet_state>(&each)) {
                 fetchAddresses.push_back(fetch->address);
             }
@@ -178,6 +180,7 @@
     std::vector<send_heartbeat> heartbeatMessages;
     std::vector<std::string> fetchAddresses;
     std::string streamedBytes;
+    int directoryReads = 0;
     int streamEnds = 0;
     int abortedAnswers = 0;
     int releasedPrefills = 0;
--- a/test/relay_fuzz_test.cpp
+++ b/test/relay_fuzz_test.cpp
@@ -85,7 +85,7 @@
         m_vms[vm]->handle(directory());
         members_read members;
         for (int i = 0; i < vmCount; ++i) {
-            members.members.push_back({{"vm-" + std::to_string(i)}, address(i)});
+            members.members.push_back({{"vm-" + std::to_string(i)}, address(i), {"dc-a"}, 0});
         }
         m_vms[vm]->handle(members);
         collect(vm);
@@ -393,6 +393,17 @@
             }
         }
     }
+    void on(int /*vm*/, send_summary &command)
+    {
+        auto summary = *command.summary;
+        summary.receiverIncarnation = command.receiverIncarnation;
+        summary.acknowledged = command.acknowledged;
+        for (int i = 0; i < vmCount && !m_heartbeatsBlocked; ++i) {
+            if (address(i) == command.address && m_vms[i] && randomBelow(10) > 0) {
+                m_vms[i]->handle(summary);
+            }
+        }
+    }
     template<class Command>
     void on(int /*vm*/, Command & /*command*/)
     {
--- a/test/role_planner_test.cpp
+++ b/test/role_planner_test.cpp
@@ -12,7 +12,7 @@
 struct planner_fixture {
     planner_fixture()
         : routes(std::make_shared<const relay_config>(sampleRelayConfig()))
-        , fleet({{"vm-1"}, 1}, "127.0.0.1:7000")
+        , fleet({{"vm-1"}, "127.0.0.1:7000", {"dc-a"}, 0}, 1)
         , planner({"vm-1"}, {.prefillShare = 0.3, .lease = std::chrono::seconds{3}})
     {
         announce(3, 3);
@@ -55,7 +55,7 @@
         return static_cast<std::size_t>(
             std::count_if(commands.begin(), commands.end(), [](const auto &each) { return std::holds_alternative<Command>(each); }));
     }
-    void receiveHeartbeat(const std::string &vm) { fleet.onFleetHeartbeat({.from = {{vm}, 1}, .sequence = ++sequence, .address = "127.0.0.1:7001"}, now); }
+    void receiveHeartbeat(const std::string &vm) { fleet.on(fleet_heartbeat{.from = {{vm}, 1}, .sequence = ++sequence, .address = "127.0.0.1:7001", .dataCentre = {"dc-a"}, .capacity = 1}, now); }
 
     time_point now{std::chrono::hours{1}};
     route_table routes;
@@ -90,7 +90,7 @@
 }
 
 // Guards against two VMs that give orders at the same time.
-BOOST_AUTO_TEST_CASE(onlyTheVmWithTheLowestNameOrders)
+BOOST_AUTO_TEST_CASE(onlyTheVmThatComesFirstOrders)
 {
     receiveHeartbeat("vm-0");
     for (int i = 0; i < 40; ++i) {
--- /dev/null
+++ b/test/simulated_fleet.hpp
@@ -0,0 +1,419 @@
+// Many relay cores in virtual time, with a network that delays and loses messages and a directory that may turn VMs away.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "fleet_codec.hpp"
+#include "plantainpoint/relay_core.hpp"
+#include "relay_fixture.hpp"
+
+namespace plantainpoint::test {
+
+// The log of endpoint entries and the newest configuration.
+struct simulated_directory {
+    struct record {
+        endpoint_name name;
+        std::optional<relay_endpoint> value;
+        bool change = true; // A repeated entry is no change.
+    };
+    std::vector<record> log;
+    std::vector<std::shared_ptr<const relay_config>> configs;
+    std::uint64_t reads = 0;
+};
+
+class simulated_fleet
+{
+public:
+    struct settings {
+        int vmsPerDataCentre = 6;
+        int dataCentres = 2;
+        int largePerDataCentre = 0; // VMs with more capacity than the others.
+        double loss = 0;
+        unsigned seed = 1;
+        double limitTolerance = 0;
+    };
+
+    struct vm {
+        fleet_member info;
+        std::unique_ptr<relay_core> core;
+        bool frozen = false;
+        bool cutFromDirectory = false;
+        // What the VM's directory reader holds.
+        std::uint64_t next = 0;
+        std::uint64_t configNext = 0;
+        std::uint64_t lastChange = 0;
+        std::uint64_t changesFrom = 0;
+        std::vector<std::uint64_t> changes;
+        bool loaded = false;
+        // Counts since the last resetCounts().
+        std::uint64_t sentMessages = 0;
+        std::uint64_t bytes = 0; // Sent and received.
+        std::vector<relay_dispatch> dispatches;
+        std::vector<answer_failure> failures;
+    };
+
+    explicit simulated_fleet(settings fleetSettings)
+        : m_settings(fleetSettings)
+        , m_random(fleetSettings.seed)
+    {
+        m_clock.advance(std::chrono::hours{1});
+    }
+
+    // Starts all VMs within 300 ms.
+    void startAll()
+    {
+        for (int dc = 0; dc < m_settings.dataCentres; ++dc) {
+            for (int i = 0; i < m_settings.vmsPerDataCentre; ++i) {
+                vms.emplace_back();
+                auto &each = vms.back();
+                const auto number = vms.size();
+                each.info = {{"vm-" + std::to_string(number)},
+                             "10." + std::to_string(dc) + '.' + std::to_string(i / 250) + '.' + std::to_string(1 + i % 250) + ":7500",
+                             {"dc-" + std::to_string(dc)},
+                             i < m_settings.largePerDataCentre ? 500 : 120};
+                m_byAddress[each.info.address] = number - 1;
+            }
+        }
+        for (std::size_t i = 0; i < vms.size(); ++i) {
+            const auto delay = milliseconds{randomBelow(300)};
+            schedule(delay, [this, i] { start(i); });
+        }
+    }
+
+    void start(std::size_t index)
+    {
+        auto &each = vms[index];
+        auto info = each.info;
+        const bool cut = each.cutFromDirectory;
+        each = {};
+        each.info = std::move(info);
+        each.cutFromDirectory = cut;
+        each.core = std::make_unique<relay_core>(relay_settings{.self = {each.info.vm, ++m_incarnation},
+                                                                .dataCentre = each.info.dataCentre,
+                                                                .peerAddress = each.info.address,
+                                                                .capacity = each.info.capacity,
+                                                                .limitTolerance = m_settings.limitTolerance,
+                                                                .directPrefillLimit = {}},
+                                                 m_clock);
+        readMembers(index);
+        tick(index);
+    }
+
+    void kill(std::size_t index) { vms[index].core.reset(); }
+
+    void runFor(duration time)
+    {
+        const auto end = m_clock.now() + time;
+        while (!m_events.empty() && m_events.top().at <= end) {
+            auto event = m_events.top();
+            m_events.pop();
+            m_clock.advanceTo(event.at);
+            event.run();
+        }
+        m_clock.advanceTo(end);
+    }
+
+    // Publishes a configuration and entries of endpoints.
+    void publish(const relay_config &config) { directory.configs.push_back(std::make_shared<const relay_config>(config)); }
+    void announce(const relay_endpoint &endpoint, bool change = true) { directory.log.push_back({endpoint.name, endpoint, change}); }
+    void withdraw(const std::string &name) { directory.log.push_back({{name}, std::nullopt, true}); }
+
+    // Sends a plain request and returns the endpoint that it was sent to, or nothing.
+    std::optional<std::string> request(std::size_t index, const std::string &target)
+    {
+        auto &each = vms[index];
+        auto payload = std::make_shared<relay_payload>();
+        payload->id = "id-" + std::to_string(++m_lastCaller);
+        payload->host = "shop.example";
+        payload->method = "POST";
+        payload->target = target;
+        const auto before = each.dispatches.size();
+        each.core->handle(relay_request{.caller = m_lastCaller, .payload = payload, .key = digestOf("k-acme"), .timeToDeadline = milliseconds{1000}});
+        collect(index);
+        return each.dispatches.size() > before ? std::optional(each.dispatches.back().endpoint.value) : std::nullopt;
+    }
+    void answer(std::size_t index, const relay_dispatch &dispatch)
+    {
+        if (vms[index].core) {
+            vms[index].core->handle(relay_reply{.attempt = dispatch.attempt, .status = 200, .body = "b", .genuine = true});
+            collect(index);
+        }
+    }
+
+    bool isHub(std::size_t index) const { return vms[index].core && vms[index].core->metrics().at("hub").get<bool>(); }
+    std::string role(std::size_t index) const { return vms[index].core->status().at("role").get<std::string>(); }
+    std::string follows(std::size_t index) const { return vms[index].core->status().at("follows").get<std::string>(); }
+    std::int64_t heard(std::size_t index) const { return vms[index].core->status().at("vms_heard").get<std::int64_t>(); }
+    std::optional<std::size_t> reader() const
+    {
+        for (std::size_t i = 0; i < vms.size(); ++i) {
+            if (vms[i].core && !vms[i].frozen && role(i) == "reader") {
+                return i;
+            }
+        }
+        return std::nullopt;
+    }
+    void resetCounts()
+    {
+        directory.reads = 0;
+        for (auto &each : vms) {
+            each.sentMessages = 0;
+            each.bytes = 0;
+        }
+    }
+    time_point now() const { return m_clock.now(); }
+    int randomBelow(int count) { return std::uniform_int_distribution<int>(0, count - 1)(m_random); }
+
+    std::deque<vm> vms;
+    simulated_directory directory;
+    bool directoryDown = false;
+    std::set<std::pair<std::size_t, std::size_t>> cutLinks; // Messages from the first VM to the second one are lost.
+
+private:
+    struct event {
+        time_point at;
+        std::uint64_t number = 0;
+        std::function<void()> run;
+        bool operator<(const event &other) const { return at != other.at ? at > other.at : number > other.number; }
+    };
+
+    void schedule(duration delay, std::function<void()> run) { m_events.push({m_clock.now() + delay, ++m_eventNumber, std::move(run)}); }
+
+    // Ticks the core when it asks for it. A tick of an earlier run of the VM is dropped.
+    void tick(std::size_t index)
+    {
+        auto *const core = vms[index].core.get();
+        if (core == nullptr) {
+            return;
+        }
+        if (vms[index].frozen) {
+            schedule(milliseconds{100}, [this, index, core] { tickIfCurrent(index, core); });
+            return;
+        }
+        core->tick();
+        collect(index);
+        const auto delay = std::max<duration>(core->nextTick() - m_clock.now(), milliseconds{1});
+        schedule(delay, [this, index, core] { tickIfCurrent(index, core); });
+    }
+    void tickIfCurrent(std::size_t index, const relay_core *core)
+    {
+        if (vms[index].core.get() == core) {
+            tick(index);
+        }
+    }
+
+    void collect(std::size_t index)
+    {
+        if (!vms[index].core) {
+            return;
+        }
+        for (auto &each : vms[index].core->take()) {
+            std::visit([&](auto &command) { on(index, command); }, each);
+        }
+    }
+
+    void on(std::size_t index, relay_dispatch &command) { vms[index].dispatches.push_back(command); }
+    void on(std::size_t index, answer_failure &command) { vms[index].failures.push_back(command); }
+    void on(std::size_t index, send_heartbeat &command)
+    {
+        transmit(index, command.address, encodeHeartbeat(*command.heartbeatMessage).size(), *command.heartbeatMessage);
+    }
+    void on(std::size_t index, send_summary &command)
+    {
+        auto summary = *command.summary;
+        summary.receiverIncarnation = command.receiverIncarnation;
+        summary.acknowledged = command.acknowledged;
+        auto &cached = m_bodySizes[index][command.summary->scope];
+        if (cached.first != command.summary) {
+            cached = {command.summary, encodeSummary(encodeSummaryBody(*command.summary), 0, 0).size()};
+        }
+        transmit(index, command.address, cached.second, std::move(summary));
+    }
+    void on(std::size_t index, read_directory &command)
+    {
+        ++directory.reads;
+        ++directory.reads; // One call for the configuration and one for the endpoints.
+        auto &each = vms[index];
+        each.next = each.loaded ? std::max(each.next, command.position) : 0;
+        schedule(milliseconds{4}, [this, index, core = each.core.get()] { finishRead(index, core); });
+    }
+    void on(std::size_t index, read_members & /*command*/)
+    {
+        ++directory.reads;
+        schedule(milliseconds{4}, [this, index] { readMembers(index); });
+    }
+    void on(std::size_t index, import_directory_changes &command)
+    {
+        std::vector<std::uint64_t> offsets;
+        std::size_t position = 0;
+        while (position < command.changes->size()) {
+            std::size_t used = 0;
+            offsets.push_back(std::stoull(command.changes->substr(position), &used));
+            position += used + 1;
+        }
+        apply(index, offsets, command.position, true);
+    }
+    void on(std::size_t index, fetch_fleet_state &command)
+    {
+        const auto sender = m_byAddress.at(command.address);
+        schedule(milliseconds{5}, [this, index, sender] {
+            const auto &from = vms[sender];
+            auto &to = vms[index];
+            if (!from.core || !to.core || !from.loaded || (to.loaded && from.next <= to.next && from.configNext <= to.configNext)) {
+                return;
+            }
+            // The whole state weighs about 300 bytes an endpoint.
+            constexpr std::uint64_t entrySize = 300;
+            vms[index].bytes += entrySize * from.next;
+            load(index, std::max(from.next, to.next), std::max(from.configNext, to.configNext), true);
+        });
+    }
+    template<class Command>
+    void on(std::size_t /*index*/, Command & /*command*/)
+    {
+    }
+
+    template<class Message>
+    void transmit(std::size_t from, const std::string &address, std::size_t size, Message message)
+    {
+        const auto to = m_byAddress.at(address);
+        ++vms[from].sentMessages;
+        vms[from].bytes += size;
+        const bool lost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_settings.loss || cutLinks.contains({from, to});
+        if (lost || !vms[to].core || vms[to].frozen) {
+            return;
+        }
+        const auto delay = vms[from].info.dataCentre == vms[to].info.dataCentre ? std::chrono::microseconds{100} : std::chrono::microseconds{1400};
+        schedule(delay, [this, to, size, message = std::move(message)] {
+            if (vms[to].core && !vms[to].frozen) {
+                vms[to].bytes += size;
+                vms[to].core->handle(message);
+                collect(to);
+            }
+        });
+    }
+
+    void finishRead(std::size_t index, const relay_core *core)
+    {
+        auto &each = vms[index];
+        if (each.core.get() != core) {
+            return;
+        }
+        const bool succeeded = !directoryDown && !each.cutFromDirectory;
+        if (succeeded && !each.loaded) {
+            load(index, directory.log.size(), directory.configs.size(), false);
+        } else if (succeeded) {
+            std::vector<std::uint64_t> offsets;
+            for (auto offset = each.next; offset < directory.log.size(); ++offset) {
+                offsets.push_back(offset);
+            }
+            applyConfig(index, directory.configs.size());
+            apply(index, offsets, directory.log.size(), false);
+        }
+        each.core->handle(directory_read_finished{succeeded});
+        collect(index);
+    }
+
+    void applyConfig(std::size_t index, std::uint64_t configNext)
+    {
+        auto &each = vms[index];
+        if (configNext > each.configNext) {
+            each.configNext = configNext;
+            each.core->handle(configuration_read{directory.configs[configNext - 1]});
+        }
+    }
+
+    void load(std::size_t index, std::uint64_t next, std::uint64_t configNext, bool imported)
+    {
+        auto &each = vms[index];
+        std::map<endpoint_name, relay_endpoint> newest;
+        for (std::uint64_t offset = 0; offset < next; ++offset) {
+            const auto &record = directory.log[offset];
+            newest.erase(record.name);
+            if (record.value) {
+                newest.emplace(record.name, *record.value);
+            }
+        }
+        directory_read read{.whole = true, .position = next, .imported = imported};
+        for (const auto &[name, value] : newest) {
+            read.changed.push_back({name, value});
+        }
+        each.loaded = true;
+        each.next = next;
+        each.lastChange = next;
+        each.changesFrom = next;
+        each.changes.clear();
+        applyConfig(index, configNext);
+        each.core->handle(read);
+        reportState(index);
+    }
+
+    void apply(std::size_t index, const std::vector<std::uint64_t> &offsets, std::uint64_t next, bool imported)
+    {
+        auto &each = vms[index];
+        directory_read read{.position = std::max(each.next, next), .imported = imported};
+        for (const auto offset : offsets) {
+            const auto &record = directory.log[offset];
+            if (offset < each.next || !record.change) {
+                continue;
+            }
+            read.changed.push_back({record.name, record.value});
+            each.changes.push_back(offset);
+            each.lastChange = offset + 1;
+        }
+        each.next = read.position;
+        if (!read.changed.empty()) {
+            each.core->handle(read);
+        }
+        reportState(index);
+    }
+
+    void reportState(std::size_t index)
+    {
+        auto &each = vms[index];
+        directory_state state{
+            .configPosition = each.configNext, .configSize = 1000, .position = each.next, .lastChange = each.lastChange, .changesFrom = each.changesFrom};
+        std::string text;
+        for (const auto offset : each.changes) {
+            text += std::to_string(offset) + ',';
+        }
+        state.changes = text.empty() ? nullptr : std::make_shared<const std::string>(std::move(text));
+        each.core->handle(std::move(state));
+        collect(index);
+    }
+
+    void readMembers(std::size_t index)
+    {
+        if (!vms[index].core || directoryDown || vms[index].cutFromDirectory) {
+            return;
+        }
+        members_read read;
+        for (const auto &each : vms) {
+            read.members.push_back(each.info);
+        }
+        vms[index].core->handle(std::move(read));
+        collect(index);
+    }
+
+    settings m_settings;
+    std::mt19937 m_random;
+    manual_clock m_clock;
+    std::priority_queue<event> m_events;
+    std::uint64_t m_eventNumber = 0;
+    std::uint64_t m_incarnation = 0;
+    caller_id m_lastCaller = 0;
+    std::map<std::string, std::size_t> m_byAddress;
+    std::map<std::size_t, std::map<summary_scope, std::pair<std::shared_ptr<const fleet_summary>, std::size_t>>> m_bodySizes;
+};
+
+} // namespace plantainpoint::test
--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -41,7 +41,6 @@
     {
         options.core.self = {{"vm-1"}, 1};
         options.directoryAddress = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-        options.directoryInterval = std::chrono::milliseconds{10};
         accept();
     }
 
@@ -86,8 +85,20 @@
         answer(*connection, body);
     }
 
+    // Reads once, and again as soon as a read is finished.
+    void startReading()
+    {
+        reader.start();
+        reader.run(read_directory{});
+    }
+
     void receive(relay_input message)
     {
+        if (std::holds_alternative<directory_read_finished>(message)) {
+            boost::asio::post(io, [this] { reader.run(read_directory{}); });
+        } else if (auto *const state = std::get_if<directory_state>(&message)) {
+            lastState = *state;
+        }
         const auto *const read = std::get_if<directory_read>(&message);
         if (read == nullptr) {
             return;
@@ -106,6 +117,14 @@
         return nlohmann::json{{"end", end}, {"has_more", false}, {"items", {{{"key", name}, {"value", absl::Base64Escape(value)}}}}}.dump();
     }
 
+    // Serves the reads of the configuration, which the tests of workers do not need.
+    void serveConfiguration()
+    {
+        auto *const connection = requestFor("topic=keyed.op");
+        BOOST_REQUIRE(connection != nullptr);
+        answer(*connection, nlohmann::json{{"end", 0}, {"has_more", false}, {"items", nlohmann::json::array()}}.dump());
+    }
+
     static constexpr const char *newestWorkersTarget = "/api/log-newest?topic=keyed.servers";
     static constexpr const char *readWorkersTarget = "/api/log-read?topic=keyed.servers";
 
@@ -119,6 +138,7 @@
     store_reader reader{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
     std::map<std::string, std::string> addresses; // Addresses of the workers as reported to the core.
     std::vector<std::uint64_t> positions;
+    directory_state lastState;
 };
 
 } // namespace
@@ -128,7 +148,7 @@
 // Guards against an answer that was in transit when newer state was imported. Its records would be applied twice.
 BOOST_AUTO_TEST_CASE(answerOlderThanImportedStateIsDropped)
 {
-    reader.start();
+    startReading();
     serveRequest(newestWorkersTarget, newestPage(1, "w-1", workerEntry("10.0.0.1:1")));
     auto *const delayed = requestFor(std::string(readWorkersTarget) + "&part=0&from=1");
     BOOST_REQUIRE(delayed != nullptr);
@@ -141,7 +161,7 @@
 // Guards against a late page of newest records that replaces newer imported state.
 BOOST_AUTO_TEST_CASE(pagesOlderThanImportedStateAreDropped)
 {
-    reader.start();
+    startReading();
     auto *const delayed = requestFor(newestWorkersTarget);
     BOOST_REQUIRE(delayed != nullptr);
     reader.importState(encodeState({{"w-1", workerEntry("10.0.0.3:1")}, {"w-2", workerEntry("10.0.0.4:1")}}, 3));
@@ -155,7 +175,7 @@
 // Guards against malformed state of another VM that removes known workers.
 BOOST_AUTO_TEST_CASE(malformedStateChangesNothing)
 {
-    reader.start();
+    startReading();
     serveRequest(newestWorkersTarget, newestPage(1, "w-1", workerEntry("10.0.0.1:1")));
     BOOST_REQUIRE(requestFor(std::string(readWorkersTarget) + "&part=0&from=1") != nullptr);
     reader.importState("no state");
