--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -180,6 +180,15 @@
     duration reannounceLeft{}; // Endpoints whose entries lapsed in an outage are still expected back for this time.
 };
 
+// Outcomes of attempts at an endpoint since the VM's previous heartbeat.
+struct endpoint_outcomes {
+    endpoint_name endpoint;
+    std::int32_t successes = 0;
+    std::int32_t failures = 0;
+
+    bool operator==(const endpoint_outcomes &) const = default;
+};
+
 // Message of a VM to the hubs of its data centre. It carries everything that the VM adds to the state of the fleet.
 struct fleet_heartbeat {
     incarnation_id from;
@@ -194,6 +203,7 @@
     std::vector<waiting_count> waiting;
     std::vector<endpoint_name> changingRole; // Endpoints that were ordered to change their role.
     std::vector<account_usage> usage;
+    std::vector<endpoint_outcomes> outcomes;
 
     fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
 };
@@ -226,6 +236,7 @@
     std::int32_t heardVms = 0;
     std::int32_t memberVms = 0;
     std::vector<fleet_member> candidates; // VMs of the hub's data centre that take over when the hub is lost.
+    bool hasLoads = false; // Loads and waiting requests are included. Otherwise those of the previous summary hold.
     std::vector<endpoint_load> loads;
     std::vector<waiting_count> waiting;
     std::vector<endpoint_name> changingRole;
@@ -237,6 +248,49 @@
     fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
 };
 
+// Request of a VM to the hub that it follows for a place at an endpoint.
+struct placement_ask {
+    incarnation_id from;
+    std::string address; // IP:PORT for the answer.
+    std::uint64_t number = 0; // Identifies the ask at its VM.
+    std::uint64_t heartbeat = 0; // Sequence of the VM's last heartbeat before the ask.
+    bool cancelled = false; // The request does not need a place any more. The fields below are empty.
+    service_name service;
+    std::optional<token_count> tokens;
+    bool mayPrefill = false; // A separate prefill is allowed.
+    std::int32_t priority = 5;
+    duration age{}; // Time since the request arrived.
+    duration objective{};
+    duration timeLeft{}; // The caller leaves after this time.
+    duration maxEventGap{};
+    duration holdTime{}; // Time for which a request holds its place, as the VM has seen it.
+    std::vector<endpoint_name> excluded;
+    std::uint64_t seed = 0;
+};
+
+enum class placement_result : std::uint8_t {
+    Granted,
+    Queued, // A grant follows.
+    Refused, // No place is expected in time.
+};
+
+constexpr std::string_view nameOf(placement_result value)
+{
+    constexpr std::string_view names[]{"granted", "queued", "refused"};
+    return names[static_cast<std::size_t>(value)];
+}
+
+// Answer of a hub.
+struct placement_grant {
+    incarnation_id from;
+    std::uint64_t receiverIncarnation = 0;
+    std::uint64_t number = 0;
+    placement_result result = placement_result::Granted;
+    endpoint_name prefill; // Empty if the prompt is not read separately.
+    endpoint_name serving;
+    duration expectedWait{};
+};
+
 // VMs that have announced themselves in the directory.
 struct members_read {
     std::vector<fleet_member> members;
@@ -272,6 +326,8 @@
                                  directory_state,
                                  fleet_heartbeat,
                                  fleet_summary,
+                                 placement_ask,
+                                 placement_grant,
                                  members_read,
                                  order_log_read,
                                  order_appended,
@@ -353,6 +409,16 @@
     std::uint64_t acknowledged = 0;
 };
 
+struct send_ask {
+    std::string address;
+    placement_ask ask;
+};
+
+struct send_grant {
+    std::string address;
+    placement_grant grant;
+};
+
 // Reads the configuration and the endpoint entries up to their ends. Entries before the position are known already.
 struct read_directory {
     std::uint64_t position = 0;
@@ -406,6 +472,8 @@
                                    release_prefill,
                                    send_heartbeat,
                                    send_summary,
+                                   send_ask,
+                                   send_grant,
                                    read_directory,
                                    read_members,
                                    import_directory_changes,
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -14,9 +14,11 @@
 
 namespace {
 
-constexpr int format = 3; // Version of the message format. Messages in another format are rejected.
+constexpr int format = 4; // Version of the message format. Messages in another format are rejected.
 constexpr char heartbeatKind = 'H';
 constexpr char summaryKind = 'S';
+constexpr char askKind = 'A';
+constexpr char grantKind = 'G';
 constexpr std::size_t numberBytes = 8;
 constexpr unsigned bitsPerByte = 8;
 
@@ -139,9 +141,64 @@
     heartbeatMessage.follows.value = in.at(5).get<std::string>();
     heartbeatMessage.knowledge = decodeKnowledge(in.at(6));
     decodeTotals(in.at(7), heartbeatMessage);
+    heartbeatMessage.outcomes = decodeList<endpoint_outcomes>(in.at(8), [](const json &outcomes) {
+        return endpoint_outcomes{{outcomes.at(0).get<std::string>()}, outcomes.at(1).get<std::uint16_t>(), outcomes.at(2).get<std::uint16_t>()};
+    });
     return heartbeatMessage;
 }
 
+std::int64_t toMicroseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+}
+
+duration readMicroseconds(const json &in)
+{
+    return std::chrono::microseconds{in.get<std::int32_t>()};
+}
+
+placement_ask readAsk(const json &in)
+{
+    placement_ask ask{.from = {{in.at(1).get<std::string>()}, in.at(2).get<std::uint64_t>()},
+                      .address = in.at(3).get<std::string>(),
+                      .number = in.at(4).get<std::uint64_t>(),
+                      .heartbeat = in.at(5).get<std::uint64_t>(),
+                      .cancelled = in.at(6).get<bool>()};
+    if (ask.cancelled) {
+        return ask;
+    }
+    ask.service.value = in.at(7).get<std::string>();
+    if (const auto &tokens = in.at(8); !tokens.empty()) {
+        ask.tokens = token_count{tokens.at(0).get<std::int64_t>(), tokens.at(1).get<std::int64_t>(), {}};
+        constexpr std::size_t likelyIndex = 2;
+        if (tokens.size() > likelyIndex) {
+            ask.tokens->likelyOutput = tokens.at(likelyIndex).get<std::int64_t>();
+        }
+    }
+    ask.mayPrefill = in.at(9).get<bool>();
+    ask.priority = in.at(10).get<std::int32_t>();
+    ask.age = readMicroseconds(in.at(11));
+    ask.objective = readMicroseconds(in.at(12));
+    ask.timeLeft = readMicroseconds(in.at(13));
+    ask.maxEventGap = readMicroseconds(in.at(14));
+    ask.holdTime = readMicroseconds(in.at(15));
+    ask.excluded = decodeList<endpoint_name>(in.at(16), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
+    ask.seed = in.at(17).get<std::uint64_t>();
+    return ask;
+}
+
+placement_grant readGrant(const json &in)
+{
+    constexpr auto lastResult = static_cast<unsigned>(placement_result::Refused);
+    return {.from = {{in.at(1).get<std::string>()}, in.at(2).get<std::uint64_t>()},
+            .receiverIncarnation = in.at(3).get<std::uint64_t>(),
+            .number = in.at(4).get<std::uint64_t>(),
+            .result = static_cast<placement_result>(std::min(in.at(5).get<unsigned>(), lastResult)),
+            .prefill = {in.at(6).get<std::string>()},
+            .serving = {in.at(7).get<std::string>()},
+            .expectedWait = readMicroseconds(in.at(8))};
+}
+
 fleet_summary readSummary(const json &in)
 {
     fleet_summary summary;
@@ -163,6 +220,7 @@
     summary.heardVms = in.at(11).get<std::int32_t>();
     summary.memberVms = in.at(12).get<std::int32_t>();
     summary.candidates = decodeList<fleet_member>(in.at(13), decodeMember);
+    summary.hasLoads = in.at(14).get<bool>();
     return summary;
 }
 
@@ -198,10 +256,57 @@
                    heartbeatMessage.leaving,
                    heartbeatMessage.follows.value,
                    encodeKnowledge(heartbeatMessage.knowledge),
-                   encodeTotals(heartbeatMessage)};
+                   encodeTotals(heartbeatMessage),
+                   encodeList(heartbeatMessage.outcomes, [](const auto &outcomes) {
+                       return json{outcomes.endpoint.value, outcomes.successes, outcomes.failures};
+                   })};
     return heartbeatKind + toBytes(out);
 }
 
+std::string encodeAsk(const placement_ask &ask)
+{
+    json tokens = json::array();
+    if (ask.tokens) {
+        tokens = {ask.tokens->prompt, ask.tokens->output};
+        if (ask.tokens->likelyOutput) {
+            tokens.push_back(*ask.tokens->likelyOutput);
+        }
+    }
+    const json out{format,
+                   ask.from.vm.value,
+                   ask.from.number,
+                   ask.address,
+                   ask.number,
+                   ask.heartbeat,
+                   ask.cancelled,
+                   ask.service.value,
+                   tokens,
+                   ask.mayPrefill,
+                   ask.priority,
+                   toMicroseconds(ask.age),
+                   toMicroseconds(ask.objective),
+                   toMicroseconds(ask.timeLeft),
+                   toMicroseconds(ask.maxEventGap),
+                   toMicroseconds(ask.holdTime),
+                   encodeList(ask.excluded, [](const auto &name) { return json(name.value); }),
+                   ask.seed};
+    return askKind + toBytes(out);
+}
+
+std::string encodeGrant(const placement_grant &grant)
+{
+    const json out{format,
+                   grant.from.vm.value,
+                   grant.from.number,
+                   grant.receiverIncarnation,
+                   grant.number,
+                   static_cast<unsigned>(grant.result),
+                   grant.prefill.value,
+                   grant.serving.value,
+                   toMicroseconds(grant.expectedWait)};
+    return grantKind + toBytes(out);
+}
+
 std::string encodeSummaryBody(const fleet_summary &summary)
 {
     const json out{format,
@@ -217,7 +322,8 @@
                    summary.changes ? *summary.changes : std::string{},
                    summary.heardVms,
                    summary.memberVms,
-                   encodeList(summary.candidates, encodeMember)};
+                   encodeList(summary.candidates, encodeMember),
+                   summary.hasLoads};
     return toBytes(out);
 }
 
@@ -234,19 +340,27 @@
 
 absl::StatusOr<fleet_message> decodeFleetMessage(std::string_view bytes)
 {
-    const bool isSummary = !bytes.empty() && bytes.front() == summaryKind;
-    const std::size_t prefix = isSummary ? 1 + 2 * numberBytes : 1;
-    if (bytes.size() < prefix || (!isSummary && bytes.front() != heartbeatKind)) {
-        return makeStatus(failure::MalformedMessage, "fleet message: expected a heartbeat or a summary");
+    const char kind = bytes.empty() ? '\0' : bytes.front();
+    const std::size_t prefix = kind == summaryKind ? 1 + 2 * numberBytes : 1;
+    if (bytes.size() < prefix || std::string_view("HSAG").find(kind) == std::string_view::npos) {
+        return makeStatus(failure::MalformedMessage, "fleet message: expected a heartbeat, a summary, an ask or a grant");
     }
     try {
         const auto in = json::from_cbor(bytes.substr(prefix));
         if (!in.is_array() || in.empty() || in[0] != format) {
-            return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 3");
+            return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 4");
         }
-        if (!isSummary) {
+        if (kind == heartbeatKind) {
             return checked(readHeartbeat(in));
         }
+        if (kind == askKind) {
+            auto ask = readAsk(in);
+            return parseAddress(ask.address) ? absl::StatusOr<fleet_message>(std::move(ask))
+                                             : makeStatus(failure::MalformedMessage, "ask: expected an address of the form IP:PORT");
+        }
+        if (kind == grantKind) {
+            return fleet_message{readGrant(in)};
+        }
         auto summary = readSummary(in);
         summary.receiverIncarnation = readNumber(bytes.substr(1));
         summary.acknowledged = readNumber(bytes.substr(1 + numberBytes));
--- a/shell/fleet_codec.hpp
+++ b/shell/fleet_codec.hpp
@@ -11,11 +11,13 @@
 
 namespace plantainpoint {
 
-using fleet_message = std::variant<fleet_heartbeat, fleet_summary>;
+using fleet_message = std::variant<fleet_heartbeat, fleet_summary, placement_ask, placement_grant>;
 
 std::string encodeHeartbeat(const fleet_heartbeat &heartbeatMessage);
 // Encodes everything but the fields for the receiver, so that one encoding serves all receivers.
 std::string encodeSummaryBody(const fleet_summary &summary);
+std::string encodeAsk(const placement_ask &ask);
+std::string encodeGrant(const placement_grant &grant);
 std::string encodeSummary(std::string_view body, std::uint64_t receiverIncarnation, std::uint64_t acknowledged);
 
 // Returns MalformedMessage with a description of the error when the bytes are not a valid message.
--- a/shell/fleet_link.cpp
+++ b/shell/fleet_link.cpp
@@ -67,6 +67,16 @@
     sendTo(command.address, encodeSummary(body, command.receiverIncarnation, command.acknowledged));
 }
 
+void fleet_link::send(const send_ask &command)
+{
+    sendTo(command.address, encodeAsk(command.ask));
+}
+
+void fleet_link::send(const send_grant &command)
+{
+    sendTo(command.address, encodeGrant(command.grant));
+}
+
 void fleet_link::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
@@ -79,7 +89,8 @@
                 m_sink(std::move(*message));
             } else if (m_malformed++ == 0) {
                 const auto text = message.status().message();
-                m_logger.write(severity::Warning, log_component::Peer, "Received a malformed message of another VM: " + std::string(text.data(), text.size()) + '.');
+                m_logger.write(
+                    severity::Warning, log_component::Peer, "Received a malformed message of another VM: " + std::string(text.data(), text.size()) + '.');
             }
         }
         receive();
--- a/shell/fleet_link.hpp
+++ b/shell/fleet_link.hpp
@@ -28,6 +28,8 @@
     absl::Status listen(const std::string &address);
     void send(const send_heartbeat &command);
     void send(const send_summary &command);
+    void send(const send_ask &command);
+    void send(const send_grant &command);
 
 private:
     void receive();
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -77,6 +77,8 @@
 
     void run(const send_heartbeat &command) { m_fleetLink.send(command); }
     void run(const send_summary &command) { m_fleetLink.send(command); }
+    void run(const send_ask &command) { m_fleetLink.send(command); }
+    void run(const send_grant &command) { m_fleetLink.send(command); }
     void run(const read_directory &command) { m_directory.run(command); }
     void run(const read_members &command) { m_directory.run(command); }
     void run(const import_directory_changes &command) { m_directory.run(command); }
@@ -123,9 +125,7 @@
     , m_directory(
           io, m_directoryHttp, m_options, [this](relay_input message) { deliver(std::move(message)); }, m_logger)
     , m_fleetLink(
-          io,
-          [this](fleet_message message) { std::visit([this](auto &content) { deliver(std::move(content)); }, message); },
-          m_logger)
+          io, [this](fleet_message message) { std::visit([this](auto &content) { deliver(std::move(content)); }, message); }, m_logger)
     , m_server(
           io,
           {server_limits{.connectionsPerAccount = 1'000'000}, {}, request_handling::Opaque},
--- a/src/directory_follower.cpp
+++ b/src/directory_follower.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto retryPause = milliseconds{200}; // Pause after a failed read of a VM that knows nothing yet, or that reads for the fleet.
 constexpr auto lostAnswerTimeout = milliseconds{2500}; // A read without a result by then counts as failed. The reader has shorter timeouts.
+constexpr auto firstReadDelay = milliseconds{600}; // A hub tells a VM that has started of its existence within this time.
 constexpr int outageThreshold = 2; // Failed reads in a row. A single read may fail by chance.
 constexpr auto outageTime = milliseconds{2000}; // Entries of live endpoints lapse in longer outages only.
 // Parts of the bound after which a VM reads by itself. The rest covers the read and the way of the change through the hubs.
@@ -59,6 +60,11 @@
     if (!m_expedited && (!stale || paused)) {
         return false;
     }
+    // A VM that has just started may get everything from a hub.
+    m_startedAt = m_startedAt.value_or(now);
+    if (role == directory_role::Follower && !m_provedAt && now - *m_startedAt < firstReadDelay + m_jitter / 2) {
+        return false;
+    }
     m_expedited = false;
     m_readStartedAt = now;
     return true;
--- a/src/directory_follower.hpp
+++ b/src/directory_follower.hpp
@@ -50,6 +50,7 @@
     std::optional<time_point> m_provedAt;
     std::optional<time_point> m_readStartedAt; // Set while a read is open.
     std::optional<time_point> m_lastReadAt;
+    std::optional<time_point> m_startedAt; // Time of the first decision.
     time_point m_failedReadStartedAt{};
     int m_failures = 0;
     bool m_expedited = false;
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace plantainpoint {
 
@@ -43,6 +44,13 @@
     m_failures += 1;
 }
 
+void endpoint_statistics::onOutcomes(std::int32_t successes, std::int32_t failures, time_point now)
+{
+    decay(now);
+    m_successes += successes;
+    m_failures += failures;
+}
+
 double endpoint_statistics::failureRatio(time_point now) const
 {
     const double elapsed = std::chrono::duration<double>(std::max(now - m_decayedAt, duration{})).count();
@@ -198,6 +206,17 @@
     return out;
 }
 
+std::vector<const endpoint_entry *> endpoint_directory::entriesOf(const service_name &service) const
+{
+    std::vector<const endpoint_entry *> out;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.info.service == service) {
+            out.push_back(&entry);
+        }
+    }
+    return out;
+}
+
 bool endpoint_directory::hasService(const service_name &service, time_point now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) { return item.second.info.service == service && item.second.usable(now); });
@@ -223,6 +242,29 @@
     }
 }
 
+std::vector<endpoint_outcomes> endpoint_directory::takeOutcomes()
+{
+    std::vector<endpoint_outcomes> out;
+    for (auto &[name, entry] : m_entries) {
+        if (entry.unreported.successes > 0 || entry.unreported.failures > 0) {
+            out.push_back(std::exchange(entry.unreported, {}));
+            out.back().endpoint = name;
+        }
+    }
+    return out;
+}
+
+std::vector<endpoint_name> endpoint_directory::notAccepting(const service_name &service, time_point now) const
+{
+    std::vector<endpoint_name> out;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.info.service == service && entry.usable(now) && !entry.acceptsWork(now)) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
 std::vector<endpoint_load> endpoint_directory::ownLoads() const
 {
     std::vector<endpoint_load> out;
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -21,6 +21,8 @@
 public:
     void onSuccess(duration time, time_point now);
     void onFailure(time_point now);
+    // Adds what another VM has seen.
+    void onOutcomes(std::int32_t successes, std::int32_t failures, time_point now);
 
     // Returns the fraction of recent answers that failed, from 0 to 1. Few answers have little weight.
     double failureRatio(time_point now) const;
@@ -53,6 +55,7 @@
     relay_endpoint info;
     endpoint_statistics endpointStatistics;
     std::unordered_map<attempt_number, open_work> open;
+    endpoint_outcomes unreported; // Outcomes that no heartbeat has reported yet.
     std::optional<time_point> withdrawnAt; // The endpoint is used until this time.
     time_point fullUntil{}; // The endpoint refused work because it was full.
     time_point downUntil{}; // The endpoint could not be connected to.
@@ -92,9 +95,15 @@
     endpoint_entry *find(const endpoint_name &name);
     // Returns the usable endpoints of a service that have the role.
     std::vector<endpoint_entry *> candidates(const service_name &service, endpoint_role role, time_point now);
+    // Returns all endpoints of a service.
+    std::vector<const endpoint_entry *> entriesOf(const service_name &service) const;
     bool hasService(const service_name &service, time_point now) const;
     // Returns the open work of this VM for the heartbeat.
     std::vector<endpoint_load> ownLoads() const;
+    // Returns the outcomes since the last call.
+    std::vector<endpoint_outcomes> takeOutcomes();
+    // Returns the endpoints that accept no work from this VM although they are not leaving.
+    std::vector<endpoint_name> notAccepting(const service_name &service, time_point now) const;
     // Returns the endpoints that were ordered to change their role.
     std::vector<endpoint_name> changingRole(time_point now) const;
     // Marks endpoints that another VM has ordered to change their role.
--- a/src/fleet_members.hpp
+++ b/src/fleet_members.hpp
@@ -36,6 +36,7 @@
     time_point skippedUntil{}; // The VM did not answer as a hub.
     bool tried = false; // The VM has answered, or failed to answer, as a hub.
     bool leaving = false;
+    bool settled = false; // As a hub.
 
     std::optional<time_point> heardAt() const { return std::max(heartbeatAt, summaryAt); }
     bool isHeard(time_point now) const { return heardAt() && now - *heardAt() < vmSilenceTimeout; }
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "fleet_view.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace plantainpoint {
@@ -9,8 +10,15 @@
 
 constexpr auto settleTime = std::chrono::seconds{1}; // A hub hears all VMs of its data centre within this time.
 // Pause between two summaries to VMs that are silent. They may have restarted without the directory.
-constexpr auto noticeInterval = std::chrono::seconds{1};
-constexpr std::size_t maxSentHeartbeats = 16; // Heartbeats that a hub may still acknowledge.
+constexpr auto noticeInterval = std::chrono::milliseconds{450};
+// Every third summary to the followers has the loads and the candidates, which they need only when they lose the hub.
+constexpr int loadsInterval = 3;
+constexpr std::size_t maxSentHeartbeats = 128; // Heartbeats that a hub may still acknowledge.
+
+std::string grantSource(const place_key &key)
+{
+    return key.vm.value + '#' + std::to_string(key.number);
+}
 
 } // namespace
 
@@ -42,6 +50,7 @@
     peer.leaving = heartbeatMessage.leaving;
     m_direct.set(heartbeatMessage.from.vm.value, heartbeatMessage.loads, heartbeatMessage.waiting);
     auto &source = m_directSources[heartbeatMessage.from.vm];
+    removeGrants(heartbeatMessage.from.vm, source, arrival.restarted ? std::numeric_limits<std::uint64_t>::max() : heartbeatMessage.sequence);
     source.changingRole = heartbeatMessage.changingRole;
     source.follows = heartbeatMessage.follows;
     auto admitted = source.usage.onReport(heartbeatMessage.from, heartbeatMessage.usage, resumed);
@@ -58,8 +67,7 @@
     if (summary.receiverIncarnation != m_incarnation) {
         return nullptr;
     }
-    const auto it =
-        std::find_if(m_sentHeartbeats.begin(), m_sentHeartbeats.end(), [&](const auto &each) { return each.sequence == summary.acknowledged; });
+    const auto it = std::find_if(m_sentHeartbeats.begin(), m_sentHeartbeats.end(), [&](const auto &each) { return each.sequence == summary.acknowledged; });
     return it == m_sentHeartbeats.end() ? nullptr : &*it;
 }
 
@@ -73,6 +81,7 @@
     peer.summarySequence = summary.sequence;
     peer.summaryAt = now;
     peer.leaving = summary.leaving;
+    peer.settled = summary.settled;
     for (const auto &candidate : summary.candidates) {
         m_members.add(candidate, now);
     }
@@ -125,11 +134,15 @@
     auto waiting = summary.waiting;
     auto usage = summary.usage;
     if (own != nullptr) {
-        addLoads(loads, own->content->loads, -1);
-        addWaiting(waiting, own->content->waiting, -1);
+        if (summary.hasLoads) {
+            addLoads(loads, own->content->loads, -1);
+            addWaiting(waiting, own->content->waiting, -1);
+        }
         addUsage(usage, own->content->usage, -1);
     }
-    m_remote.set(summary.dataCentre.value, loads, waiting);
+    if (summary.hasLoads) {
+        m_remote.set(summary.dataCentre.value, loads, waiting);
+    }
     return source.usage.onReport(summary.from, usage, first || resumed);
 }
 
@@ -147,31 +160,36 @@
             m_remote.removeAllBut(ownDataCentre.value);
         }
     }
-    m_follows = {};
-    for (const auto &hub : selection.hubs) {
-        if (m_isHub) {
-            break;
-        }
-        const auto source = m_remoteSources.find(ownDataCentre);
-        // Keeps the hub, as every change loses the admissions of one interval.
-        if (source != m_remoteSources.end() && source->second.hub == hub) {
-            m_follows = hub;
-            break;
-        }
-        m_follows = m_follows.empty() ? hub : m_follows;
+    const auto isSettled = [&](const vm_name &hub) { return m_members.find(hub)->settled; };
+    const auto firstSettled = std::find_if(selection.hubs.begin(), selection.hubs.end(), isSettled);
+    const auto source = m_remoteSources.find(ownDataCentre);
+    const bool keepsSource =
+        source != m_remoteSources.end() && std::find(selection.hubs.begin(), selection.hubs.end(), source->second.hub) != selection.hubs.end();
+    vm_name first = selection.hubs.empty() ? vm_name{} : selection.hubs.front();
+    if (firstSettled != selection.hubs.end()) {
+        first = *firstSettled;
+    } else if (keepsSource) {
+        first = source->second.hub; // Every change loses the admissions of one interval.
     }
+    m_follows = m_isHub ? vm_name{} : first;
+    // The second hub asks the first one for places, so that only one VM of a data centre places.
+    const bool precedesSelf = !first.empty() && precedes(m_members.find(first)->info, m_members.self());
+    m_placingHub = !m_isHub || precedesSelf ? first : vm_name{};
 }
 
 void fleet_view::expireSources(time_point now)
 {
-    std::erase_if(m_directSources, [&](const auto &vmAndSource) {
-        const auto *const peer = m_members.find(vmAndSource.first);
+    for (auto it = m_directSources.begin(); it != m_directSources.end();) {
+        const auto *const peer = m_members.find(it->first);
         if (peer != nullptr && peer->heartbeatAt && now - *peer->heartbeatAt < vmSilenceTimeout) {
-            return false;
+            ++it;
+            continue;
         }
-        m_direct.remove(vmAndSource.first.value);
-        return peer == nullptr; // The tracker is kept, so that a VM that returns is not debited twice.
-    });
+        m_direct.remove(it->first.value);
+        removeGrants(it->first, it->second, std::numeric_limits<std::uint64_t>::max());
+        // The tracker of a known VM is kept, so that a VM that returns is not debited twice.
+        it = peer == nullptr ? m_directSources.erase(it) : std::next(it);
+    }
     for (auto &[dataCentre, source] : m_remoteSources) {
         if (now - source.receivedAt >= vmSilenceTimeout) {
             m_remote.remove(dataCentre.value);
@@ -188,8 +206,15 @@
     expireSources(now);
     const auto selection = m_members.select(m_members.self().dataCentre, now);
     setRole(selection, now);
-    sendHeartbeats(report, selection, now, out);
-    sendSummaries(report, now, out);
+    if (now >= m_nextHeartbeat) {
+        m_nextHeartbeat = now + fleetMessageInterval;
+        sendHeartbeats(report, selection, now, out);
+        sendSummaries(report, now, out);
+    }
+    if (m_isHub && now >= m_nextTotals) {
+        m_nextTotals = now + (m_placingHub.empty() ? placingHubInterval : fleetMessageInterval);
+        sendTotals(report, now, out);
+    }
 }
 
 void fleet_view::sendHeartbeats(const own_report &report, const hub_selection &selection, time_point now, std::vector<relay_command> &out)
@@ -199,11 +224,29 @@
     if (!m_sentHeartbeats.empty()) {
         const auto &last = *m_sentHeartbeats.back().content;
         const bool unchanged = last.loads == report.loads && last.waiting == report.waiting && last.changingRole == report.changingRole
-            && last.usage == report.usage && last.leaving == m_leaving && last.follows == m_follows && receivers == m_lastReceivers;
+                               && last.usage == report.usage && last.leaving == m_leaving && last.follows == m_follows && receivers == m_lastReceivers;
         if (unchanged && now - m_lastHeartbeatAt < idleHeartbeatInterval) {
             return;
         }
     }
+    const auto heartbeatMessage = makeHeartbeat(report);
+    for (const auto &vm : receivers) {
+        m_members.onProbe(vm, now);
+        out.push_back(send_heartbeat{m_members.find(vm)->info.address, heartbeatMessage});
+    }
+    m_lastHeartbeatAt = now;
+    m_lastReceivers = std::move(receivers);
+}
+
+void fleet_view::reportChange(const own_report &report, time_point now, std::vector<relay_command> &out)
+{
+    if (const auto *const hub = placingHub(now)) {
+        out.push_back(send_heartbeat{hub->info.address, makeHeartbeat(report)});
+    }
+}
+
+std::shared_ptr<const fleet_heartbeat> fleet_view::makeHeartbeat(const own_report &report)
+{
     const auto &self = m_members.self();
     auto heartbeatMessage = std::make_shared<const fleet_heartbeat>(fleet_heartbeat{.from = {self.vm, m_incarnation},
                                                                                     .sequence = ++m_heartbeatSequence,
@@ -216,17 +259,38 @@
                                                                                     .loads = report.loads,
                                                                                     .waiting = report.waiting,
                                                                                     .changingRole = report.changingRole,
-                                                                                    .usage = report.usage});
+                                                                                    .usage = report.usage,
+                                                                                    .outcomes = report.outcomes});
     m_sentHeartbeats.push_back({m_heartbeatSequence, heartbeatMessage});
     if (m_sentHeartbeats.size() > maxSentHeartbeats) {
         m_sentHeartbeats.pop_front();
     }
-    for (const auto &vm : receivers) {
-        m_members.onProbe(vm, now);
-        out.push_back(send_heartbeat{m_members.find(vm)->info.address, heartbeatMessage});
+    return heartbeatMessage;
+}
+
+void fleet_view::onGrant(const place_key &key, const std::vector<endpoint_load> &loads)
+{
+    const auto it = m_directSources.find(key.vm);
+    if (it != m_directSources.end()) {
+        it->second.grants.push_back(key);
+        m_direct.set(grantSource(key), loads, {});
     }
-    m_lastHeartbeatAt = now;
-    m_lastReceivers = std::move(receivers);
+}
+
+// Removes the work that a heartbeat contains.
+void fleet_view::removeGrants(const vm_name &vm, direct_source &source, std::uint64_t heartbeat)
+{
+    while (!source.grants.empty() && source.grants.front().heartbeat < heartbeat) {
+        source.grants.front().vm = vm;
+        m_direct.remove(grantSource(source.grants.front()));
+        source.grants.pop_front();
+    }
+}
+
+const fleet_peer *fleet_view::placingHub(time_point now) const
+{
+    const auto *const hub = m_members.find(m_placingHub);
+    return hub != nullptr && hub->isLiveHub(now) ? hub : nullptr;
 }
 
 std::size_t fleet_view::countDirect(duration silence, time_point now) const
@@ -237,7 +301,7 @@
     }));
 }
 
-std::shared_ptr<fleet_summary> fleet_view::makeSummary(const own_report &report, summary_scope scope, time_point now) const
+std::shared_ptr<fleet_summary> fleet_view::makeSummary(const own_report &report, summary_scope scope, bool withLoads, time_point now) const
 {
     const auto &self = m_members.self();
     auto summary = std::make_shared<fleet_summary>(fleet_summary{.from = {self.vm, m_incarnation},
@@ -251,15 +315,18 @@
                                                                  .knowledge = report.knowledge,
                                                                  .changesFrom = report.changesFrom,
                                                                  .changes = report.changes,
-                                                                 .candidates = m_members.candidates(now)});
+                                                                 .candidates = withLoads ? m_members.candidates(now) : std::vector<fleet_member>{},
+                                                                 .hasLoads = withLoads});
     if (scope == summary_scope::Brief) {
         return summary;
     }
-    summary->loads = report.loads;
-    summary->waiting = report.waiting;
     summary->usage = report.usage;
     summary->changingRole = report.changingRole;
-    m_direct.addTo(summary->loads, summary->waiting);
+    if (withLoads) {
+        summary->loads = report.loads;
+        summary->waiting = report.waiting;
+        m_direct.addTo(summary->loads, summary->waiting);
+    }
     for (const auto &[vm, source] : m_directSources) {
         summary->changingRole.insert(summary->changingRole.end(), source.changingRole.begin(), source.changingRole.end());
     }
@@ -269,7 +336,9 @@
         summary->memberVms = static_cast<std::int32_t>(1 + countDirect(vmExpiryTimeout, now));
         return summary;
     }
-    m_remote.addTo(summary->loads, summary->waiting);
+    if (withLoads) {
+        m_remote.addTo(summary->loads, summary->waiting);
+    }
     addUsage(summary->usage, m_fleetUsage);
     for (const auto &[dataCentre, source] : m_remoteSources) {
         summary->changingRole.insert(summary->changingRole.end(), source.changingRole.begin(), source.changingRole.end());
@@ -289,6 +358,7 @@
     ++m_summarySequence;
     std::shared_ptr<const fleet_summary> brief;
     std::shared_ptr<const fleet_summary> fleet;
+    const bool withLoads = m_summariesSent++ % loadsInterval == 0;
     const bool notify = m_isHub && now >= m_nextNotice;
     for (const auto &[vm, peer] : m_members.peers()) {
         const bool subscribed = peer.heartbeatAt && now - *peer.heartbeatAt < vmSilenceTimeout;
@@ -300,17 +370,27 @@
         const bool follows = subscribed && source != m_directSources.end() && source->second.follows == m_members.self().vm;
         auto &summary = follows ? fleet : brief;
         if (!summary) {
-            summary = makeSummary(report, follows ? summary_scope::Fleet : summary_scope::Brief, now);
+            summary = makeSummary(report, follows ? summary_scope::Fleet : summary_scope::Brief, withLoads, now);
         }
         send(summary, peer, out);
     }
     if (notify) {
         m_nextNotice = now + noticeInterval;
     }
+}
+
+// Sends the totals of this data centre to the hubs of the others.
+void fleet_view::sendTotals(const own_report &report, time_point now, std::vector<relay_command> &out)
+{
+    ++m_summarySequence;
+    std::vector<vm_name> placing; // The hubs that place.
     std::vector<vm_name> hubs;
     for (const auto &dataCentre : m_members.dataCentres()) {
-        if (m_isHub && dataCentre != m_members.self().dataCentre) {
+        if (dataCentre != m_members.self().dataCentre) {
             const auto selection = m_members.select(dataCentre, now);
+            if (!selection.hubs.empty()) {
+                placing.push_back(selection.hubs.front());
+            }
             hubs.insert(hubs.end(), selection.hubs.begin(), selection.hubs.end());
             hubs.insert(hubs.end(), selection.probes.begin(), selection.probes.end());
         }
@@ -321,8 +401,12 @@
             hubs.push_back(vm);
         }
     }
-    const auto totals = hubs.empty() ? nullptr : makeSummary(report, summary_scope::DataCentre, now);
+    const auto totals = hubs.empty() ? nullptr : makeSummary(report, summary_scope::DataCentre, true, now);
+    const bool toAll = m_totalsSent++ % (fleetMessageInterval / placingHubInterval) == 0 || !m_placingHub.empty();
     for (const auto &vm : hubs) {
+        if (!toAll && std::find(placing.begin(), placing.end(), vm) == placing.end()) {
+            continue;
+        }
         m_members.onProbe(vm, now);
         if (const auto *const peer = m_members.find(vm)) {
             send(totals, *peer, out);
@@ -357,8 +441,7 @@
 
 bool fleet_view::hasHub(time_point now) const
 {
-    const auto *const followed = m_members.find(m_follows);
-    return m_isHub || (followed != nullptr && followed->isLiveHub(now));
+    return m_isHub || placingHub(now) != nullptr;
 }
 
 endpoint_load fleet_view::loadAt(const endpoint_name &endpoint) const
@@ -374,9 +457,10 @@
     return {endpoint, std::max(load.running, 0), std::max<std::int64_t>(load.prefillTokens, 0), std::max<std::int64_t>(load.kvTokens, 0)};
 }
 
-std::int32_t fleet_view::waitingAt(const service_name &service) const
+// The requests of this data centre wait at its hub.
+std::int32_t fleet_view::waitingElsewhere(const service_name &service) const
 {
-    return std::max(m_remote.waitingAt(service) + (countsDirect() ? m_direct.waitingAt(service) : 0), 0);
+    return std::max(m_remote.waitingAt(service), 0);
 }
 
 } // namespace plantainpoint
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -17,6 +17,8 @@
 
 // The interval limits the age of what a VM knows of the work and admissions of the others.
 inline constexpr auto fleetMessageInterval = std::chrono::milliseconds{150};
+// Interval of the totals that a hub which places sends to those of other data centres.
+inline constexpr auto placingHubInterval = std::chrono::milliseconds{50};
 // Interval of heartbeats while nothing changes. Three of them fit into vmSilenceTimeout.
 inline constexpr auto idleHeartbeatInterval = std::chrono::milliseconds{450};
 
@@ -29,6 +31,14 @@
     std::vector<waiting_count> waiting;
     std::vector<endpoint_name> changingRole;
     std::vector<account_usage> usage;
+    std::vector<endpoint_outcomes> outcomes;
+};
+
+// Work placed for another VM.
+struct place_key {
+    vm_name vm;
+    std::uint64_t number = 0;
+    std::uint64_t heartbeat = 0; // The VM's last heartbeat that cannot contain the work.
 };
 
 class fleet_view
@@ -37,7 +47,11 @@
     fleet_view(fleet_member self, std::uint64_t incarnation);
 
     void onMembers(const members_read &members, time_point now);
-    void setLeaving() { m_leaving = true; }
+    void setLeaving()
+    {
+        m_leaving = true;
+        m_nextHeartbeat = {};
+    }
 
     struct message_arrival {
         bool fresh = false; // The message is neither a duplicate nor older than one that was received before.
@@ -49,6 +63,15 @@
 
     // Sends the messages that are due.
     void exchange(const own_report &report, time_point now, std::vector<relay_command> &out);
+    // Tells the followed hub of changed work at once.
+    void reportChange(const own_report &report, time_point now, std::vector<relay_command> &out);
+
+    // Counts work that this VM as a hub has placed for another VM, until a later heartbeat of that VM contains it.
+    void onGrant(const place_key &key, const std::vector<endpoint_load> &loads);
+    // Returns the hub that places the requests of this data centre, or null if this VM places its own.
+    const fleet_peer *placingHub(time_point now) const;
+    std::uint64_t lastHeartbeat() const { return m_heartbeatSequence; }
+    std::uint64_t incarnation() const { return m_incarnation; }
 
     // Returns the number of VMs whose admissions reach this VM, including this one.
     std::size_t heard(time_point now) const;
@@ -62,9 +85,9 @@
     // Returns the hub whose totals are used, or an empty name.
     const vm_name &followed() const { return m_follows; }
 
-    // Return the load that the other VMs put on an endpoint, and their requests that wait for a service.
+    // Return the load that the other VMs put on an endpoint, and the requests that wait for a service and are not queued here.
     endpoint_load loadAt(const endpoint_name &endpoint) const;
-    std::int32_t waitingAt(const service_name &service) const;
+    std::int32_t waitingElsewhere(const service_name &service) const;
 
 private:
     // Totals of another data centre, or of the whole fleet at a VM that follows a hub.
@@ -82,6 +105,7 @@
         std::shared_ptr<const fleet_heartbeat> content;
     };
     struct direct_source {
+        std::deque<place_key> grants;
         usage_tracker usage;
         std::vector<endpoint_name> changingRole;
         vm_name follows;
@@ -94,10 +118,13 @@
     const sent_heartbeat *findSent(const fleet_summary &summary) const;
     void setRole(const hub_selection &selection, time_point now);
     void expireSources(time_point now);
+    void removeGrants(const vm_name &vm, direct_source &source, std::uint64_t heartbeat);
+    std::shared_ptr<const fleet_heartbeat> makeHeartbeat(const own_report &report);
     void sendHeartbeats(const own_report &report, const hub_selection &selection, time_point now, std::vector<relay_command> &out);
     void sendSummaries(const own_report &report, time_point now, std::vector<relay_command> &out);
+    void sendTotals(const own_report &report, time_point now, std::vector<relay_command> &out);
     void send(const std::shared_ptr<const fleet_summary> &summary, const fleet_peer &receiver, std::vector<relay_command> &out) const;
-    std::shared_ptr<fleet_summary> makeSummary(const own_report &report, summary_scope scope, time_point now) const;
+    std::shared_ptr<fleet_summary> makeSummary(const own_report &report, summary_scope scope, bool withLoads, time_point now) const;
     std::size_t countDirect(duration silence, time_point now) const;
 
     std::uint64_t m_incarnation;
@@ -115,6 +142,11 @@
     std::vector<account_usage> m_dataCentreUsage; // Admissions reported by heartbeats since the start.
     std::vector<account_usage> m_fleetUsage; // Admissions reported by heartbeats and by other data centres since the start.
     vm_name m_follows;
+    vm_name m_placingHub;
+    time_point m_nextHeartbeat{};
+    time_point m_nextTotals{};
+    int m_totalsSent = 0;
+    int m_summariesSent = 0;
     bool m_isHub = false;
     bool m_leaving = false;
     std::optional<time_point> m_hubSince;
--- /dev/null
+++ b/src/placer.cpp
@@ -0,0 +1,157 @@
+#include "placer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainpoint {
+
+namespace {
+
+// Fraction of the time to the deadline. A caller that is refused later cannot retry in time.
+constexpr double maxWaitFraction = 0.6;
+
+} // namespace
+
+placer::placer(endpoint_directory &endpoints, const fleet_view &fleet, const engine_speeds &speeds, const data_centre_name &dataCentre)
+    : m_endpoints(endpoints)
+    , m_fleet(fleet)
+    , m_speeds(speeds)
+    , m_dataCentre(dataCentre)
+{
+}
+
+std::vector<endpoint_entry *> placer::plainCandidates(const service_name &service, time_point now) const
+{
+    auto candidates = m_endpoints.candidates(service, endpoint_role::Plain, now);
+    const auto decodes = m_endpoints.candidates(service, endpoint_role::Decode, now);
+    candidates.insert(candidates.end(), decodes.begin(), decodes.end());
+    return candidates;
+}
+
+std::optional<model_placement> placer::choose(const placement_request &request, time_point now) const
+{
+    const placement_context context{m_fleet, m_dataCentre, m_speeds, now, request.excluded, request.maxEventGap, request.seed};
+    if (!request.engine || !request.tokens) {
+        auto *const endpoint = choosePlain(plainCandidates(request.service, now), context);
+        return endpoint == nullptr ? std::nullopt : std::optional(model_placement{nullptr, endpoint, {}});
+    }
+    const auto decodes = m_endpoints.candidates(request.service, endpoint_role::Decode, now);
+    const auto prefills = request.mayPrefill ? m_endpoints.candidates(request.service, endpoint_role::Prefill, now) : std::vector<endpoint_entry *>{};
+    return chooseModel(prefills, decodes, *request.engine, *request.tokens, context);
+}
+
+duration placer::expectedWait(const placement_request &request, time_point now) const
+{
+    std::int32_t slots = 1;
+    auto holdTime = std::max<duration>(request.holdTime, std::chrono::milliseconds{1});
+    for (const auto *candidate : plainCandidates(request.service, now)) {
+        slots += candidate->info.slots;
+        holdTime = std::max(holdTime, candidate->endpointStatistics.meanHoldTime());
+    }
+    const auto queue = m_waiting.find(request.service);
+    const auto here = queue == m_waiting.end() ? 0 : static_cast<std::int64_t>(queue->second.size());
+    return holdTime * (here + 1 + m_fleet.waitingElsewhere(request.service)) / slots;
+}
+
+std::optional<duration> placer::enqueueOrRefuse(placement_request request, time_point now)
+{
+    const auto expected = expectedWait(request, now);
+    if (expected > std::chrono::duration_cast<duration>((request.latest - now) * maxWaitFraction)) {
+        return expected;
+    }
+    auto &queue = m_waiting[request.service];
+    const auto position = std::find_if(queue.begin(), queue.end(), [&](const auto &queued) { return queued.priority > request.priority; });
+    queue.insert(position, std::move(request));
+    return std::nullopt;
+}
+
+void placer::remove(const place_owner &owner)
+{
+    for (auto &[service, queue] : m_waiting) {
+        std::erase_if(queue, [&](const auto &queued) { return queued.owner == owner; });
+    }
+}
+
+void placer::removeVm(const vm_name &vm)
+{
+    for (auto &[service, queue] : m_waiting) {
+        std::erase_if(queue, [&](const auto &queued) { return queued.owner.vm == vm; });
+    }
+}
+
+bool placer::missesObjective(const placement_request &request, time_point now) const
+{
+    const auto needed = request.tokens ? m_meanStartDelay + readingTime(request.tokens->prompt, m_speeds.prefillTokensPerMs) : duration{};
+    return now + needed > request.arrivedAt + request.objective;
+}
+
+// Places requests that can still meet their objective first, the newest before the others: an overload then makes some of them late
+// instead of delaying each by a little. Late requests follow in the order of their arrival.
+void placer::placeWaiting(time_point now, const place_sink &apply)
+{
+    for (auto &[service, queue] : m_waiting) {
+        if (queue.empty()) {
+            continue;
+        }
+        // The caller has left, or its VM has decided by itself.
+        std::erase_if(queue, [&](const auto &queued) { return !queued.owner.isLocal() && now >= queued.latest; });
+        std::vector<place_owner> order;
+        std::vector<place_owner> late;
+        for (const auto &queued : queue) {
+            (missesObjective(queued, now) ? late : order).push_back(queued.owner);
+        }
+        std::reverse(order.begin(), order.end());
+        order.insert(order.end(), late.begin(), late.end());
+        // The first request that finds no place ends the round, so that smaller requests behind it do not starve large ones.
+        for (const auto &owner : order) {
+            const auto it = std::find_if(queue.begin(), queue.end(), [&](const auto &queued) { return queued.owner == owner; });
+            if (it == queue.end()) {
+                continue; // Placing another request has ended this one.
+            }
+            const auto request = *it;
+            const auto placement = choose(request, now);
+            if (!placement || !apply(request, *placement)) {
+                break;
+            }
+            remove(owner);
+        }
+    }
+}
+
+void placer::recordStartDelay(duration delay)
+{
+    constexpr std::int64_t oldWeight = 7; // Weight out of eight. The mean follows a change of load within some ten requests.
+    m_meanStartDelay = (m_meanStartDelay * oldWeight + std::max(delay, duration{})) / (oldWeight + 1);
+}
+
+std::size_t placer::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, queue] : m_waiting) {
+        count += queue.size();
+    }
+    return count;
+}
+
+std::size_t placer::waitingLocally() const
+{
+    std::size_t count = 0;
+    for (const auto &each : waitingByService()) {
+        count += static_cast<std::size_t>(each.requests);
+    }
+    return count;
+}
+
+std::vector<waiting_count> placer::waitingByService() const
+{
+    std::vector<waiting_count> counts;
+    for (const auto &[service, queue] : m_waiting) {
+        const auto local = std::count_if(queue.begin(), queue.end(), [](const auto &queued) { return queued.owner.isLocal(); });
+        if (local > 0) {
+            counts.push_back({service, static_cast<std::int32_t>(local)});
+        }
+    }
+    return counts;
+}
+
+} // namespace plantainpoint
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -45,6 +45,7 @@
              .directPrefillLimit = settings.directPrefillLimit}
     , fleet({settings.self.vm, settings.peerAddress, settings.dataCentre, settings.capacity}, settings.self.number)
     , limiter(settings.limitTolerance)
+    , placement(endpoints, fleet, speeds, settings.dataCentre)
     , planner(settings.self.vm, {settings.prefillShare, settings.orderLease})
 {
 }
@@ -127,11 +128,7 @@
     const auto caller = stored.request.caller;
     m_entries.emplace(caller, std::move(entry));
     budgetOf(stored.service).earn();
-    if (place(stored)) {
-        scheduleWakeup(stored);
-    } else {
-        enqueueOrRefuse(stored);
-    }
+    placeOrWait(stored);
 }
 
 // Returns the retry budget of this VM for a service: its share of the fleet's retries. A quarter stays free for VMs that start meanwhile.
@@ -149,157 +146,130 @@
     return m_budgets.emplace(service, retry_budget(perRequest, limit, limit / 2)).first->second;
 }
 
-placement_context relay_requests::context(const relay_entry &entry) const
-{
-    return {
-        m_components.fleet,
-        m_components.settings.dataCentre,
-        m_components.speeds,
-        m_components.clock.now(),
-        entry.triedEndpoints,
-        entry.route->gapObjective,
-        stableHash(entry.request.payload->id)};
-}
-
-bool relay_requests::place(relay_entry &entry)
-{
-    return isModelRequest(entry) ? placeModel(entry) : placePlain(entry);
-}
-
 bool relay_requests::isModelRequest(const relay_entry &entry)
 {
     const auto *const service = entry.table->service(entry.service);
     return service != nullptr && service->engine && entry.request.tokens;
 }
 
-std::vector<endpoint_entry *> relay_requests::plainCandidates(const service_name &service)
-{
-    const auto now = m_components.clock.now();
-    auto candidates = m_components.endpoints.candidates(service, endpoint_role::Plain, now);
-    const auto decodes = m_components.endpoints.candidates(service, endpoint_role::Decode, now);
-    candidates.insert(candidates.end(), decodes.begin(), decodes.end());
-    return candidates;
-}
-
-bool relay_requests::placePlain(relay_entry &entry)
+placement_request relay_requests::placementRequestOf(const relay_entry &entry) const
 {
-    auto *const endpoint = choosePlain(plainCandidates(entry.service), context(entry));
-    if (endpoint == nullptr) {
-        return false;
+    const auto *const service = entry.table->service(entry.service);
+    duration holdTime{};
+    for (const auto *endpoint : m_components.endpoints.entriesOf(entry.service)) {
+        holdTime = std::max(holdTime, endpoint->endpointStatistics.meanHoldTime());
     }
-    send(entry, *endpoint, entry.isStream() ? dispatch_kind::Decode : dispatch_kind::Plain, 0);
-    return true;
+    return {.owner = {.number = entry.request.caller},
+            .service = entry.service,
+            .engine = service != nullptr ? service->engine : std::nullopt,
+            .tokens = entry.request.tokens,
+            // A request gets only one separate prefill, as further ones would count as repeats.
+            .mayPrefill = !entry.prefillTried && !entry.headSent,
+            .priority = entry.account != nullptr && entry.account->priority ? *entry.account->priority : entry.route->priority,
+            .arrivedAt = entry.arrivedAt,
+            .objective = entry.route->objective,
+            .latest = callerDeadlineOf(entry),
+            .maxEventGap = entry.route->gapObjective,
+            .holdTime = holdTime,
+            .excluded = entry.triedEndpoints,
+            .seed = stableHash(entry.request.payload->id)};
 }
 
-bool relay_requests::placeModel(relay_entry &entry)
+bool relay_requests::place(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    const auto &profile = *entry.table->service(entry.service)->engine;
-    const auto decodes = m_components.endpoints.candidates(entry.service, endpoint_role::Decode, now);
+    const auto request = placementRequestOf(entry);
     if (entry.source) {
-        if (auto *const decode = chooseDecode(decodes, profile, *entry.request.tokens, context(entry))) {
+        const placement_context context{
+            m_components.fleet, m_components.settings.dataCentre, m_components.speeds, now, request.excluded, request.maxEventGap, request.seed};
+        const auto decodes = m_components.endpoints.candidates(entry.service, endpoint_role::Decode, now);
+        if (auto *const decode = chooseDecode(decodes, *request.engine, *request.tokens, context)) {
             send(entry, *decode, dispatch_kind::Decode, 0);
             return true;
         }
         releaseSource(entry);
     }
-    // A request gets only one separate prefill, as further ones would count as repeats.
-    const bool mayPrefill = !entry.prefillTried && !entry.headSent;
-    const auto prefills = mayPrefill ? m_components.endpoints.candidates(entry.service, endpoint_role::Prefill, now) : std::vector<endpoint_entry *>{};
-    const auto placement = chooseModel(prefills, decodes, profile, *entry.request.tokens, context(entry));
-    if (!placement) {
-        return false;
+    const auto placement = m_components.placement.choose(request, now);
+    if (placement) {
+        apply(entry, *placement);
     }
-    if (placement->prefill == nullptr) {
-        send(entry, *placement->decode, dispatch_kind::Decode, entry.request.tokens->prompt);
-        return true;
+    return placement.has_value();
+}
+
+// Sends a request to the endpoints that were chosen for it.
+void relay_requests::apply(relay_entry &entry, const model_placement &placement)
+{
+    if (!isModelRequest(entry)) {
+        send(entry, *placement.decode, entry.isStream() ? dispatch_kind::Decode : dispatch_kind::Plain, 0);
+        return;
+    }
+    if (placement.prefill == nullptr) {
+        send(entry, *placement.decode, dispatch_kind::Decode, entry.request.tokens->prompt);
+        return;
     }
     entry.prefillTried = true;
     entry.reservation = ++m_lastAttempt;
-    entry.reservationEndpoint = placement->decode->info.name;
-    placement->decode->open.emplace(*entry.reservation, open_work{now, 0, expectedMemory(*entry.request.tokens, m_components.speeds), true});
-    send(entry, *placement->prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
-    return true;
+    entry.reservationEndpoint = placement.decode->info.name;
+    const auto memory = expectedMemory(*entry.request.tokens, m_components.speeds);
+    placement.decode->open.emplace(*entry.reservation, open_work{m_components.clock.now(), 0, memory, true});
+    send(entry, *placement.prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
+}
+
+// Places a new request, or lets it wait in the order of the hub.
+void relay_requests::placeOrWait(relay_entry &entry)
+{
+    if (askHub(entry)) {
+        return;
+    }
+    if (place(entry)) {
+        scheduleWakeup(entry);
+    } else {
+        enqueueOrRefuse(entry);
+    }
 }
 
 // Refuses at once a request that cannot be served in time, and queues any other by its priority.
 void relay_requests::enqueueOrRefuse(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    const auto &payload = *entry.request.payload;
     if (!m_components.endpoints.hasService(entry.service, now)) {
         failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is known");
         return;
     }
-    auto &queue = m_waiting[entry.service];
-    const auto candidates = plainCandidates(entry.service);
-    std::int32_t slots = 1;
-    duration holdTime = milliseconds{1};
-    for (const auto *candidate : candidates) {
-        slots += candidate->info.slots;
-        holdTime = std::max(holdTime, candidate->endpointStatistics.meanHoldTime());
+    if (!entry.headSent && askHub(entry)) {
+        return;
     }
-    const auto requestsAhead = static_cast<std::int64_t>(queue.size()) + 1 + m_components.fleet.waitingAt(entry.service);
-    const auto expected = holdTime * requestsAhead / slots;
-    if (expected > std::chrono::duration_cast<duration>((callerDeadlineOf(entry) - now) * maxWaitFraction)) {
-        failRequest(entry, failure::Overloaded, outcome::NotRun, "the expected wait for an endpoint is " + millisText(expected) + " ms");
+    if (const auto expected = m_components.placement.enqueueOrRefuse(placementRequestOf(entry), now)) {
+        failRequest(entry, failure::Overloaded, outcome::NotRun, "the expected wait for an endpoint is " + millisText(*expected) + " ms");
         return;
     }
-    const auto priorityOf = [&](caller_id id) {
-        const auto &queued = *m_entries.at(id);
-        return queued.account != nullptr && queued.account->priority ? *queued.account->priority : queued.route->priority;
-    };
-    const auto ownPriority = priorityOf(entry.request.caller);
-    const auto insertPosition = std::find_if(queue.begin(), queue.end(), [&](caller_id id) { return priorityOf(id) > ownPriority; });
-    queue.insert(insertPosition, entry.request.caller);
     m_components.logMessage(severity::Info,
                             log_component::Place,
-                            "request=" + payload.id + " waits service=" + entry.service.value + " queue=" + std::to_string(queue.size())
-                                + " expected_ms=" + millisText(expected) + " directory=" + std::to_string(m_components.endpoints.position()));
+                            "request=" + entry.request.payload->id + " waits service=" + entry.service.value + " queue="
+                                + std::to_string(m_components.placement.waiting()) + " directory=" + std::to_string(m_components.endpoints.position()));
     scheduleWakeup(entry);
 }
 
 void relay_requests::removeFromQueue(const relay_entry &entry)
 {
-    const auto found = m_waiting.find(entry.service);
-    if (found != m_waiting.end()) {
-        std::erase(found->second, entry.request.caller);
-    }
+    m_components.placement.remove({.number = entry.request.caller});
 }
 
-// Places requests that can still meet their objective first, the newest before the others: an overload then makes some of them late
-// instead of delaying each by a little. Late requests follow in the order of their arrival.
 void relay_requests::placeWaiting()
 {
-    for (auto &[service, queue] : m_waiting) {
-        if (queue.empty()) {
-            continue;
-        }
-        std::vector<caller_id> inTime;
-        std::vector<caller_id> late;
-        for (const auto caller : queue) {
-            (missesObjective(*m_entries.at(caller)) ? late : inTime).push_back(caller);
+    m_components.placement.placeWaiting(m_components.clock.now(), [this](const placement_request &request, const model_placement &placement) {
+        if (!request.owner.isLocal()) {
+            grant(request, placement);
+            return true;
         }
-        std::reverse(inTime.begin(), inTime.end());
-        inTime.insert(inTime.end(), late.begin(), late.end());
-        // The first request that finds no place ends the round, so that smaller requests behind it do not starve large ones.
-        for (const auto caller : inTime) {
-            auto &entry = *m_entries.at(caller);
-            if (!place(entry)) {
-                break;
-            }
-            m_components.metrics.placementWait.add(m_components.clock.now() - entry.arrivedAt);
-            std::erase(queue, caller);
-            scheduleWakeup(entry);
+        auto &entry = *m_entries.at(request.owner.number);
+        if (!place(entry)) {
+            return false;
         }
-    }
-}
-
-bool relay_requests::missesObjective(const relay_entry &entry) const
-{
-    const auto &tokens = entry.request.tokens;
-    const auto needed = tokens ? m_meanStartDelay + readingTime(tokens->prompt, m_components.speeds.prefillTokensPerMs) : duration{};
-    return m_components.clock.now() + needed > entry.arrivedAt + entry.route->objective;
+        m_components.metrics.placementWait.add(m_components.clock.now() - entry.arrivedAt);
+        scheduleWakeup(entry);
+        return true;
+    });
 }
 
 // Returns the time at which the caller gives up unless more of the answer arrives.
@@ -314,24 +284,13 @@
 
 std::vector<waiting_count> relay_requests::waitingByService() const
 {
-    std::vector<waiting_count> counts;
-    for (const auto &[service, queue] : m_waiting) {
-        if (!queue.empty()) {
-            counts.push_back({service, static_cast<std::int32_t>(queue.size())});
-        }
+    auto counts = m_components.placement.waitingByService();
+    for (const auto &[number, caller] : m_asks) {
+        addWaiting(counts, {{m_entries.at(caller)->service, 1}});
     }
     return counts;
 }
 
-std::size_t relay_requests::waiting() const
-{
-    std::size_t count = 0;
-    for (const auto &[service, queue] : m_waiting) {
-        count += queue.size();
-    }
-    return count;
-}
-
 void relay_requests::failRequest(relay_entry &entry, failure reason, outcome result, std::string_view detail)
 {
     const auto caller = entry.request.caller;
@@ -371,6 +330,9 @@
     if (entry.attempt && entry.attempt->failoverAt) {
         wakeupTime = std::min(wakeupTime, *entry.attempt->failoverAt);
     }
+    if (entry.ask) {
+        wakeupTime = std::min(wakeupTime, askDueAt(*entry.ask));
+    }
     const auto caller = entry.request.caller;
     const auto [found, added] = m_wakeupOf.try_emplace(caller, wakeupTime);
     if (!added) {
--- /dev/null
+++ b/src/relay_asks.cpp
@@ -0,0 +1,184 @@
+// Placement by the hub: a VM asks the hub that it follows, and a hub answers from its own view of its data centre.
+#include "relay_requests.hpp"
+
+#include <algorithm>
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A hub answers within a millisecond unless it is lost or out of processor time. The request is then placed here.
+constexpr duration askTimeout = milliseconds{40};
+constexpr duration queuedAskCheck = milliseconds{300}; // Pause between two checks that the hub of a queued request is alive.
+constexpr duration hubDoubtTime = milliseconds{300}; // Requests are placed here for this time after an ask without an answer.
+
+} // namespace
+
+time_point askDueAt(const open_ask &ask)
+{
+    return ask.sentAt + (ask.queued ? queuedAskCheck : askTimeout);
+}
+
+// Asks the hub for a place. Returns false if this VM has to place the request itself.
+bool relay_requests::askHub(relay_entry &entry)
+{
+    const auto now = m_components.clock.now();
+    const auto *const hub = m_components.fleet.placingHub(now);
+    if (hub == nullptr || now < m_hubDoubtedUntil || m_components.shuttingDown) {
+        return false;
+    }
+    const auto request = placementRequestOf(entry);
+    placement_ask ask{.from = m_components.settings.self,
+                      .address = m_components.settings.peerAddress,
+                      .number = ++m_lastAsk,
+                      .heartbeat = m_components.fleet.lastHeartbeat(),
+                      .service = request.service,
+                      .tokens = request.tokens,
+                      .mayPrefill = request.mayPrefill,
+                      .priority = request.priority,
+                      .age = now - request.arrivedAt,
+                      .objective = request.objective,
+                      .timeLeft = request.latest - now,
+                      .maxEventGap = request.maxEventGap,
+                      .holdTime = request.holdTime,
+                      .excluded = m_components.endpoints.notAccepting(request.service, now),
+                      .seed = request.seed};
+    ask.excluded.insert(ask.excluded.end(), request.excluded.begin(), request.excluded.end());
+    entry.ask = open_ask{ask.number, hub->info.address, now, false};
+    m_asks.emplace(ask.number, entry.request.caller);
+    ++m_components.metrics.asks;
+    m_components.commands.push_back(send_ask{hub->info.address, std::move(ask)});
+    scheduleWakeup(entry);
+    return true;
+}
+
+// Forgets the ask of a request that needs no place any more, or that is placed here.
+void relay_requests::withdrawAsk(relay_entry &entry)
+{
+    if (!entry.ask) {
+        return;
+    }
+    m_asks.erase(entry.ask->number);
+    m_components.commands.push_back(
+        send_ask{entry.ask->hubAddress,
+                 {.from = m_components.settings.self, .address = m_components.settings.peerAddress, .number = entry.ask->number, .cancelled = true}});
+    entry.ask.reset();
+}
+
+// Places a request here whose hub does not answer, or lets it wait on at a hub that is alive.
+void relay_requests::onAskOverdue(relay_entry &entry)
+{
+    const auto now = m_components.clock.now();
+    const auto *const hub = m_components.fleet.placingHub(now);
+    if (entry.ask->queued && hub != nullptr && hub->info.address == entry.ask->hubAddress) {
+        entry.ask->sentAt = now;
+        scheduleWakeup(entry);
+        return;
+    }
+    if (!entry.ask->queued) {
+        ++m_components.metrics.asksUnanswered;
+        m_hubDoubtedUntil = now + hubDoubtTime;
+    }
+    withdrawAsk(entry);
+    placeOrWait(entry);
+}
+
+void relay_requests::on(const placement_grant &grant)
+{
+    const auto found = m_asks.find(grant.number);
+    if (grant.receiverIncarnation != m_components.settings.self.number || found == m_asks.end()) {
+        return;
+    }
+    auto &entry = *m_entries.at(found->second);
+    const auto now = m_components.clock.now();
+    if (grant.result == placement_result::Queued) {
+        entry.ask->queued = true;
+        entry.ask->sentAt = now;
+        scheduleWakeup(entry);
+        return;
+    }
+    m_asks.erase(found);
+    entry.ask.reset();
+    if (grant.result == placement_result::Refused) {
+        failRequest(entry, failure::Overloaded, outcome::NotRun, "the hub " + grant.from.vm.value + " expects no place in time");
+        return;
+    }
+    const auto usable = [&](const endpoint_name &name) {
+        auto *const endpoint = m_components.endpoints.find(name);
+        return endpoint != nullptr && endpoint->acceptsWork(now) && !entry.triedEndpoints.contains(name) ? endpoint : nullptr;
+    };
+    const model_placement placement{usable(grant.prefill), usable(grant.serving), {}};
+    m_components.metrics.placementWait.add(now - entry.arrivedAt);
+    if (placement.decode != nullptr && (grant.prefill.empty() || placement.prefill != nullptr)) {
+        apply(entry, placement);
+        scheduleWakeup(entry);
+    } else if (place(entry)) {
+        scheduleWakeup(entry);
+    } else {
+        enqueueOrRefuse(entry);
+    }
+}
+
+void relay_requests::on(const placement_ask &ask)
+{
+    const auto now = m_components.clock.now();
+    placement_request request{
+        .owner = {.vm = ask.from.vm, .incarnation = ask.from.number, .address = ask.address, .number = ask.number, .heartbeat = ask.heartbeat},
+        .service = ask.service,
+        .tokens = ask.tokens,
+        .mayPrefill = ask.mayPrefill,
+        .priority = ask.priority,
+        .arrivedAt = now - ask.age,
+        .objective = ask.objective,
+        .latest = now + ask.timeLeft,
+        .maxEventGap = ask.maxEventGap,
+        .holdTime = ask.holdTime,
+        .excluded = {ask.excluded.begin(), ask.excluded.end()},
+        .seed = ask.seed};
+    if (ask.cancelled) {
+        m_components.placement.remove(request.owner);
+        return;
+    }
+    // A VM that does not know the service or its endpoints leaves the ask without an answer, and the sender places by itself.
+    const auto *const service = m_components.routes ? m_components.routes->service(ask.service) : nullptr;
+    if (service == nullptr || !m_components.endpoints.hasService(ask.service, now) || m_components.shuttingDown) {
+        return;
+    }
+    request.engine = service->engine;
+    ++m_components.metrics.asksAnswered;
+    if (const auto placement = m_components.placement.choose(request, now)) {
+        grant(request, *placement);
+        return;
+    }
+    const auto owner = request.owner;
+    const auto expected = m_components.placement.enqueueOrRefuse(std::move(request), now);
+    answerAsk(owner, {.result = expected ? placement_result::Refused : placement_result::Queued, .expectedWait = expected.value_or(duration{})});
+}
+
+// Grants a place to another VM and counts the work until that VM reports it.
+void relay_requests::grant(const placement_request &request, const model_placement &placement)
+{
+    const bool isModel = request.engine && request.tokens;
+    const auto memory = isModel ? expectedMemory(*request.tokens, m_components.speeds) : 0;
+    const auto prompt = isModel ? request.tokens->prompt : 0;
+    std::vector<endpoint_load> loads{{placement.decode->info.name, 1, placement.prefill == nullptr ? prompt : 0, memory}};
+    placement_grant answer{.result = placement_result::Granted, .serving = placement.decode->info.name};
+    if (placement.prefill != nullptr) {
+        loads.push_back({placement.prefill->info.name, 1, prompt, memory});
+        answer.prefill = placement.prefill->info.name;
+    }
+    m_components.fleet.onGrant({request.owner.vm, request.owner.number, request.owner.heartbeat}, loads);
+    answerAsk(request.owner, std::move(answer));
+}
+
+void relay_requests::answerAsk(const place_owner &owner, placement_grant answer)
+{
+    answer.from = m_components.settings.self;
+    answer.receiverIncarnation = owner.incarnation;
+    answer.number = owner.number;
+    m_components.commands.push_back(send_grant{owner.address, std::move(answer)});
+}
+
+} // namespace plantainpoint
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -42,6 +42,7 @@
                                                        : readingTime(prefillTokens,
                                                                      kind == dispatch_kind::Prefill ? m_components.speeds.prefillTokensPerMs
                                                                                                     : m_components.speeds.decodePrefillTokensPerMs);
+    ++m_workVersion;
     endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? expectedMemory(*tokens, m_components.speeds) : 0, false});
     if (kind == dispatch_kind::Prefill) {
         ++m_components.metrics.prefills;
@@ -91,6 +92,7 @@
     if (!entry.attempt) {
         return;
     }
+    ++m_workVersion;
     m_attempts.erase(entry.attempt->number);
     if (auto *const endpoint = m_components.endpoints.find(entry.attempt->endpoint)) {
         endpoint->open.erase(entry.attempt->number);
@@ -151,8 +153,10 @@
     }
     const auto now = m_components.clock.now();
     if (succeeded) {
+        ++endpoint->unreported.successes;
         endpoint->endpointStatistics.onSuccess(now - entry.attempt->sentAt, now);
     } else {
+        ++endpoint->unreported.failures;
         endpoint->endpointStatistics.onFailure(now);
     }
 }
@@ -227,6 +231,8 @@
         auto &work = endpoint->open[part.attempt];
         if (!work.answered) {
             work.answered = true;
+            ++m_workVersion;
+            ++endpoint->unreported.successes;
             endpoint->endpointStatistics.onSuccess(now - entry->attempt->sentAt, now);
             m_components.metrics.firstEvent.add(now - entry->arrivedAt);
         }
@@ -235,7 +241,7 @@
         entry->longestGap = std::max(entry->longestGap, now - entry->lastPartAt);
     }
     if (!entry->firstEventAt && entry->request.tokens && entry->placedAt) {
-        recordStartDelay(now - *entry->placedAt - readingTime(entry->request.tokens->prompt, m_components.speeds.prefillTokensPerMs));
+        m_components.placement.recordStartDelay(now - *entry->placedAt - readingTime(entry->request.tokens->prompt, m_components.speeds.prefillTokensPerMs));
     }
     entry->firstEventAt = entry->firstEventAt.value_or(now);
     entry->lastPartAt = now;
@@ -246,12 +252,6 @@
     forwardStreamBytes(*entry, part.bytes);
 }
 
-void relay_requests::recordStartDelay(duration delay)
-{
-    constexpr std::int64_t oldWeight = 7; // Weight out of eight. The mean follows a change of load within some ten requests.
-    m_meanStartDelay = (m_meanStartDelay * oldWeight + std::max(delay, duration{})) / (oldWeight + 1);
-}
-
 // Sends stream bytes to the caller. A stream that may resume at another endpoint is sent in whole events only.
 void relay_requests::forwardStreamBytes(relay_entry &entry, std::string_view bytes)
 {
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -13,6 +13,7 @@
 
 constexpr duration maxTickInterval = std::chrono::milliseconds{500};
 constexpr duration fetchInterval = std::chrono::milliseconds{300}; // Pause between two transfers of state from other VMs.
+constexpr duration reportInterval = std::chrono::milliseconds{4}; // Changes of work within this time share a heartbeat.
 constexpr duration membersReadInterval = std::chrono::seconds{3}; // Longer than the search for a hub among the known VMs.
 // Changes are repeated for this time, so that a lost summary delays them only.
 constexpr duration changesRepeatTime = std::chrono::milliseconds{700};
@@ -38,7 +39,11 @@
     void on(const configuration_read &read);
     void on(const directory_read &read);
     void on(const directory_read_finished &finished);
-    void on(const directory_state &state) { directoryState = state; components.endpoints.onUnchanged(state.position); }
+    void on(const directory_state &state)
+    {
+        directoryState = state;
+        components.endpoints.onUnchanged(state.position);
+    }
     void on(const fleet_heartbeat &heartbeatMessage);
     void on(const fleet_summary &summary);
     void on(const members_read &read);
@@ -55,7 +60,8 @@
     void onMessage(const fleet_view::message_arrival &arrival, const vm_name &vm, const std::string &address);
     void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
     void onSummaryOfDirectory(const fleet_summary &summary);
-    own_report report(time_point now) const;
+    own_report report(time_point now);
+    void reportChangedWork(time_point now);
     void exchangeFleetMessages(time_point now);
     void readDirectory(time_point now);
     directory_role directoryRole(time_point now) const;
@@ -70,6 +76,8 @@
     std::uint64_t lastChange = 0; // The position after that change.
     directory_role lastRole = directory_role::Follower;
     time_point nextExchange{};
+    std::uint64_t reportedWork = 0; // Version of the work that the last heartbeat reported.
+    time_point lastReportAt{};
     time_point nextFetch{};
     time_point nextMembersRead{};
     std::optional<time_point> shutdownAt;
@@ -143,6 +151,11 @@
     }
     onMessage(arrival, heartbeatMessage.from.vm, heartbeatMessage.address);
     components.endpoints.onRoleChange(heartbeatMessage.changingRole, components.clock.now());
+    for (const auto &outcomes : heartbeatMessage.outcomes) {
+        if (auto *const endpoint = components.endpoints.find(outcomes.endpoint)) {
+            endpoint->endpointStatistics.onOutcomes(outcomes.successes, outcomes.failures, components.clock.now());
+        }
+    }
     onKnowledge(heartbeatMessage.knowledge, heartbeatMessage.address);
 }
 
@@ -178,7 +191,7 @@
     const bool configBehind = knowledge.configPosition > directoryState.configPosition;
     const bool endpointsBehind = knowledge.lastChange > endpoints.position();
     if (!configBehind && !endpointsBehind) {
-        if (knowledge.proofAge && components.routes && endpoints.known()) {
+        if (knowledge.proofAge && endpoints.known()) {
             endpoints.onUnchanged(knowledge.position);
             if (follower.onProof(now - *knowledge.proofAge)) {
                 endpoints.onReadElsewhere();
@@ -213,7 +226,7 @@
     components.logMessage(severity::Info, log_component::Core, "shutdown requested open=" + std::to_string(requests.open()));
 }
 
-own_report relay_core::state::report(time_point now) const
+own_report relay_core::state::report(time_point now)
 {
     own_report result{.knowledge = {.configPosition = directoryState.configPosition,
                                     .configSize = directoryState.configSize,
@@ -224,7 +237,8 @@
                       .loads = components.endpoints.ownLoads(),
                       .waiting = requests.waitingByService(),
                       .changingRole = components.planner.ordered(components.endpoints, now),
-                      .usage = components.limiter.usage()};
+                      .usage = components.limiter.usage(),
+                      .outcomes = components.endpoints.takeOutcomes()};
     if (now - lastChangeAt < changesRepeatTime) {
         result.changesFrom = directoryState.changesFrom;
         result.changes = directoryState.changes;
@@ -242,19 +256,31 @@
     if (now < nextExchange) {
         return;
     }
-    nextExchange = now + fleetMessageInterval;
+    nextExchange = now + (components.fleet.isHub() ? placingHubInterval : fleetMessageInterval);
+    reportedWork = requests.workVersion();
     components.limiter.setVisibility(components.fleet.heard(now), components.fleet.members(now));
     const auto before = components.commands.size();
     components.fleet.exchange(report(now), now, components.commands);
     components.metrics.heartbeatsSent += components.commands.size() - before;
 }
 
+// Tells the hub of changed work at once, as it places the requests of the other VMs by it.
+void relay_core::state::reportChangedWork(time_point now)
+{
+    if (requests.workVersion() == reportedWork || components.fleet.placingHub(now) == nullptr || now - lastReportAt < reportInterval) {
+        return;
+    }
+    reportedWork = requests.workVersion();
+    lastReportAt = now;
+    components.fleet.reportChange(report(now), now, components.commands);
+}
+
 directory_role relay_core::state::directoryRole(time_point now) const
 {
-    if (components.fleet.leads(now)) {
-        return directory_role::Reader;
+    if (!components.fleet.isHub()) {
+        return directory_role::Follower;
     }
-    return components.fleet.isHub() ? directory_role::StandBy : directory_role::Follower;
+    return components.fleet.leads(now) ? directory_role::Reader : directory_role::StandBy;
 }
 
 void relay_core::state::readDirectory(time_point now)
@@ -312,9 +338,8 @@
 {
     std::visit([this](auto &&content) { m_state->on(std::forward<decltype(content)>(content)); }, std::move(message));
     // The message may have freed a slot or changed what is known of the endpoints.
-    if (m_state->requests.waiting() > 0) {
-        m_state->requests.placeWaiting();
-    }
+    m_state->requests.placeWaiting();
+    m_state->reportChangedWork(m_state->components.clock.now());
 }
 
 void relay_core::tick()
@@ -324,6 +349,7 @@
     m_state->requests.placeWaiting();
     m_state->components.endpoints.tick(now);
     m_state->exchangeFleetMessages(now);
+    m_state->reportChangedWork(now);
     m_state->readDirectory(now);
     m_state->planRoles(now);
     m_state->stopWhenIdle(now);
@@ -338,6 +364,9 @@
 {
     const auto now = m_state->components.clock.now();
     auto next = std::min(m_state->nextExchange, now + maxTickInterval);
+    if (m_state->requests.workVersion() != m_state->reportedWork && m_state->components.fleet.placingHub(now) != nullptr) {
+        next = std::min(next, m_state->lastReportAt + reportInterval);
+    }
     const auto wakeup = m_state->requests.nextWakeup();
     return wakeup ? std::min(next, *wakeup) : next;
 }
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -24,6 +24,9 @@
     std::uint64_t notRun = 0; // Refusals by endpoints.
     std::uint64_t heartbeatsSent = 0;
     std::uint64_t heartbeatsReceived = 0;
+    std::uint64_t asks = 0; // Asks for a place that were sent to the hub.
+    std::uint64_t asksUnanswered = 0; // Those that the hub did not answer in time.
+    std::uint64_t asksAnswered = 0; // Asks of other VMs.
     latency_summary plainAnswer;
     latency_summary firstEvent;
     latency_summary placementWait; // Time that requests wait for a place.
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -231,6 +231,8 @@
             } else {
                 failRequest(entry, failure::Overloaded, outcome::NotRun, "no place in time");
             }
+        } else if (entry.ask && now >= askDueAt(*entry.ask)) {
+            onAskOverdue(entry);
         } else if (entry.machine.stage() == relay_stage::Waiting) {
             failRequest(entry, failure::Overloaded, outcome::NotRun, "no place in time");
         } else if (entry.attempt && entry.attempt->failoverAt && now >= *entry.attempt->failoverAt) {
@@ -268,13 +270,10 @@
 {
     auto excluded = entry.triedEndpoints;
     excluded.insert(entry.attempt->endpoint);
-    auto current = context(entry);
-    const placement_context elsewhere{current.fleet, current.dataCentre, current.speeds, current.now, excluded, current.maxEventGap, current.spreadSeed};
-    if (!isModelRequest(entry)) {
-        return choosePlain(plainCandidates(entry.service), elsewhere) != nullptr;
-    }
-    const auto decodes = m_components.endpoints.candidates(entry.service, endpoint_role::Decode, elsewhere.now);
-    return chooseModel({}, decodes, *entry.table->service(entry.service)->engine, *entry.request.tokens, elsewhere).has_value();
+    auto request = placementRequestOf(entry);
+    request.excluded = std::move(excluded);
+    request.mayPrefill = false;
+    return m_components.placement.choose(request, m_components.clock.now()).has_value();
 }
 
 // Ends a request whose caller has its final answer or has disconnected.
@@ -288,6 +287,7 @@
     releaseReservation(entry);
     releaseSource(entry);
     removeFromQueue(entry);
+    withdrawAsk(entry);
     entry.machine.apply(relay_event::ended{});
     const auto caller = entry.request.caller;
     const auto wakeup = m_wakeupOf.find(caller);
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -13,6 +13,7 @@
 #include "event_splitter.hpp"
 #include "fleet_limiter.hpp"
 #include "fleet_view.hpp"
+#include "placer.hpp"
 #include "plantainpoint/relay_core.hpp"
 #include "relay_machine.hpp"
 #include "relay_metrics.hpp"
@@ -40,6 +41,7 @@
     fleet_view fleet;
     fleet_limiter limiter;
     role_planner planner;
+    placer placement;
     relay_metrics metrics;
     std::vector<relay_command> commands;
     bool shuttingDown = false;
@@ -55,6 +57,14 @@
     std::optional<time_point> failoverAt;
 };
 
+// An ask for a place that the hub has not granted yet.
+struct open_ask {
+    std::uint64_t number = 0;
+    std::string hubAddress;
+    time_point sentAt{};
+    bool queued = false; // The hub has answered that a grant follows.
+};
+
 struct relay_entry {
     relay_request request;
     std::shared_ptr<const route_table> table; // The table keeps the route and the account alive.
@@ -65,6 +75,7 @@
     time_point arrivedAt{};
     time_point deadline{};
     relay_machine machine;
+    std::optional<open_ask> ask;
     std::optional<relay_attempt> attempt;
     std::optional<attempt_number> reservation; // Slot at the decode endpoint while the prefill endpoint reads the prompt.
     endpoint_name reservationEndpoint;
@@ -89,6 +100,9 @@
     bool canRepeat() const { return route->policy == repeat_policy::Idempotent || (isStream() && route->resumable); }
 };
 
+// Returns the time at which an ask is due for a check.
+time_point askDueAt(const open_ask &ask);
+
 class relay_requests
 {
 public:
@@ -101,6 +115,8 @@
     void on(stream_head head);
     void on(const stream_part &part);
     void on(const relay_attempt_ended &message);
+    void on(const placement_ask &ask);
+    void on(const placement_grant &grant);
 
     // Places waiting requests after a change of the endpoints or of their load.
     void placeWaiting();
@@ -108,8 +124,11 @@
     void tick(time_point now);
     std::optional<time_point> nextWakeup() const;
     std::size_t open() const { return m_entries.size(); }
-    std::size_t waiting() const;
+    // Returns the requests that wait for a place, here or at the hub.
+    std::size_t waiting() const { return m_components.placement.waitingLocally() + m_asks.size(); }
     std::vector<waiting_count> waitingByService() const;
+    // Changes with the open work at the endpoints.
+    std::uint64_t workVersion() const { return m_workVersion; }
 
 private:
     using entry_ptr = std::unique_ptr<relay_entry>;
@@ -121,16 +140,18 @@
 
     // Placement.
     static bool isModelRequest(const relay_entry &entry);
-    // Returns plain endpoints, and decode endpoints for model requests without a token count.
-    std::vector<endpoint_entry *> plainCandidates(const service_name &service);
+    placement_request placementRequestOf(const relay_entry &entry) const;
     bool place(relay_entry &entry);
-    bool placePlain(relay_entry &entry);
-    bool placeModel(relay_entry &entry);
+    void apply(relay_entry &entry, const model_placement &placement);
+    void placeOrWait(relay_entry &entry);
     void enqueueOrRefuse(relay_entry &entry);
-    bool missesObjective(const relay_entry &entry) const;
+    bool askHub(relay_entry &entry);
+    void onAskOverdue(relay_entry &entry);
+    void withdrawAsk(relay_entry &entry);
+    void grant(const placement_request &request, const model_placement &placement);
+    void answerAsk(const place_owner &owner, placement_grant answer);
     time_point callerDeadlineOf(const relay_entry &entry) const;
     void removeFromQueue(const relay_entry &entry);
-    placement_context context(const relay_entry &entry) const;
 
     // Attempts.
     void send(relay_entry &entry, endpoint_entry &endpoint, dispatch_kind kind, std::int64_t prefillTokens);
@@ -143,7 +164,6 @@
     void recoverSource(relay_entry &entry);
     void recordReportedLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
     void recordHoldTime(const relay_entry &entry);
-    void recordStartDelay(duration delay);
     void recordAttemptOutcome(const relay_entry &entry, bool succeeded);
     retry_budget &budgetOf(const service_name &service);
     bool spendRetry(const relay_entry &entry);
@@ -169,12 +189,13 @@
     relay_components &m_components;
     std::unordered_map<caller_id, entry_ptr> m_entries;
     std::unordered_map<attempt_number, caller_id> m_attempts;
-    std::map<service_name, std::deque<caller_id>> m_waiting;
+    std::unordered_map<std::uint64_t, caller_id> m_asks; // Asks that the hub has not granted.
+    std::uint64_t m_lastAsk = 0;
+    time_point m_hubDoubtedUntil{}; // The hub left an ask without an answer. This VM places by itself until then.
+    std::uint64_t m_workVersion = 0;
     std::map<service_name, retry_budget> m_budgets;
     std::set<std::pair<time_point, caller_id>> m_wakeups;
     std::unordered_map<caller_id, time_point> m_wakeupOf;
-    // Mean time from a placement to the first event, without the time to read the prompt.
-    duration m_meanStartDelay = std::chrono::milliseconds{120};
     attempt_number m_lastAttempt = 0;
 };
 
