Return the rate of an account to its new owner

Its former owner kept the rate, the new owner recalled fill and capacity only, and nothing accrued at any VM.

Change: applying an epoch puts such accounts on the list of those that are reviewed.

--- a/src/share_epoch.hpp
+++ b/src/share_epoch.hpp
@@ -129,6 +129,10 @@
     account.waiting = 0;
     account.backoffUntil = {};
     account.ownerSilentUntil = {};
+    // Reviews the share of an account that was not used here, so that it goes to the new owner. The owner recalls fill and capacity only.
+    if (account.ownerId != m_self && !account.bucketShare.empty()) {
+        m_active.insert(name);
+    }
     m_changed.insert(name);
 }
 
--- a/test/share_table_test.cpp
+++ b/test/share_table_test.cpp
@@ -237,6 +237,7 @@
     // The owner is not in epoch 2 and is a member again in epoch 3, in which it has to learn which share the other VM holds.
     auto &returningOwner = ownerTable();
     removeOwner();
+    runFor(50ms); // The other VM reviews its shares later, so that the owner has to recall them.
     restoreOwner();
     outbox out;
     BOOST_TEST((returningOwner.admit(account, out).verdict == admission::Waiting));
@@ -284,4 +285,21 @@
     BOOST_TEST(heldCapacityUnits() == capacityBefore);
 }
 
+// Guards against the rate of an account that stays at a former owner for good. That VM has no request for the account and the new owner
+// recalls fill and capacity only, so that nothing accrues anywhere.
+BOOST_FIXTURE_TEST_CASE(formerOwnerReturnsTheRate, vm_pair_fixture)
+{
+    removeOwner();
+    runFor(2s);
+    restoreOwner();
+    confirmEpoch(a, 3);
+    confirmEpoch(b, 3);
+    deliver(a, outA, b, outB);
+    runFor(3s);
+    BOOST_TEST(admitAll(ownerTable()) == 6);
+    runFor(500ms);
+    BOOST_TEST(admitAll(ownerTable()) >= 4);
+    BOOST_TEST(ownerTable().accounts().at(account).bucketShare.rateUnits() == limitUnits);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
