Bound what endpoints may send, and keep admissions when a hub is lost

The VM accepts what waits and stops when nothing is being received.

Reports of both hubs are tracked (lostHubsLoseNoAdmissions).

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -209,7 +209,7 @@
 };
 
 enum class summary_scope : std::uint8_t {
-    Brief, // No totals.
+    Brief, // No totals but the admissions of all VMs, and these not in every message.
     DataCentre, // Totals of the hub's data centre, for the hubs of the others.
     Fleet, // Totals of all VMs, for the VMs that follow the hub.
 };
@@ -246,6 +246,8 @@
     std::uint64_t acknowledged = 0;
 
     fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
+    // Returns whether the admissions are included.
+    bool hasUsage() const { return scope != summary_scope::Brief || hasLoads; }
 };
 
 // Request of a VM to the hub that it follows for a place at an endpoint.
@@ -365,6 +367,7 @@
     bool streamed = false;
     std::optional<prefill_source> source;
     std::optional<std::uint64_t> resumeAfter;
+    bool repeated = false; // The endpoint has had an attempt of this request before, whose answer may arrive twice.
 };
 
 // Closes the connection of an attempt. No more of its answer arrives.
--- a/include/plantainpoint/relay_core.hpp
+++ b/include/plantainpoint/relay_core.hpp
@@ -64,6 +64,9 @@
     // Returns true when the configuration and the endpoints are known and no shutdown was requested.
     bool ready() const;
 
+    // Returns the number of requests without a final answer.
+    std::size_t openRequests() const;
+
     std::uint64_t configVersion() const;
     // Returns the bounds of what callers may send, from the configuration.
     caller_bounds bounds() const;
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -79,6 +79,9 @@
     bool hasRequest() const { return m_caller != 0; }
     // Returns whether no request is open or partly received and no output is left.
     bool isIdle() const { return m_caller == 0 && !m_arriving && m_input.size() == 0 && !hasOutput(); }
+    bool isArriving() const { return m_arriving; }
+    // Returns whether the connection has bytes that have not been read.
+    virtual bool hasPendingInput() const = 0;
     bool hasOutput() const { return m_writing || !m_pendingOutput.empty(); }
 
 protected:
--- a/shell/client_connection.cpp
+++ b/shell/client_connection.cpp
@@ -25,6 +25,11 @@
 constexpr auto idleMargin = std::chrono::milliseconds{500};
 constexpr std::size_t smallReadSize = 4 * 1024UL; // Bytes. Holds some tens of tokens.
 constexpr std::size_t largeReadSize = 64 * 1024UL; // Bytes. Used after a read that filled its buffer.
+constexpr std::uint32_t maxHeadSize = 16 * 1024; // Bytes of a status line with its header, and of the trailer.
+// Bytes that may wait for the end of a chunk's size line or of the trailer. A complete read and a head fit.
+constexpr std::size_t maxUnparsedSize = largeReadSize + 2 * maxHeadSize;
+constexpr int maxSkippedHeads = 16;
+constexpr std::size_t maxSkippedBytes = 1024 * 1024UL;
 constexpr std::size_t maxIdleBufferSize = 16 * 1024UL; // Bytes. An idle connection releases a larger read buffer.
 
 } // namespace
@@ -45,6 +50,8 @@
     m_receiver = std::move(receiver);
     m_requestMaybeSent = false;
     m_startedAt = steady_clock::now();
+    m_skippedHeads = 0;
+    m_skippedBytes = 0;
     resetParser();
     if (m_socket.is_open()) {
         write();
@@ -58,6 +65,7 @@
 {
     m_parser.emplace();
     m_parser->get().body() = this;
+    m_parser->header_limit(maxHeadSize);
     m_parser->body_limit(m_call->maxBody);
     m_parser->skip(m_call->request.method() == http::verb::head);
     m_headSeen = false;
@@ -166,9 +174,9 @@
         boost::beast::error_code error;
         m_buffer.consume(m_parser->put(m_buffer.data(), error));
         if (error == http::error::need_more) {
-            return true;
+            return m_buffer.size() <= maxUnparsedSize;
         }
-        if (error) {
+        if (error || m_skippedHeads > maxSkippedHeads || m_skippedBytes > maxSkippedBytes) {
             return false;
         }
         if (!m_headSeen && m_receiver && m_parser->is_header_done()) {
@@ -185,12 +193,14 @@
 {
     const auto status = m_parser->get().result_int();
     if (status / 100 == 1) {
+        ++m_skippedHeads;
         resetParser();
         return;
     }
     m_headSeen = true;
     m_parser->eager(true);
     if (m_call->accepts && !m_call->accepts(m_parser->get())) {
+        ++m_skippedHeads;
         m_skippingResponse = true;
         return;
     }
@@ -199,7 +209,9 @@
 
 void client_connection::onBodyData(std::string_view data)
 {
-    if (m_receiver && !m_skippingResponse) {
+    if (m_skippingResponse) {
+        m_skippedBytes += data.size();
+    } else if (m_receiver) {
         m_receiver->onBody(data);
     }
 }
--- a/shell/client_connection.hpp
+++ b/shell/client_connection.hpp
@@ -105,6 +105,8 @@
     std::chrono::steady_clock::duration m_idleLimit = std::chrono::steady_clock::duration::max();
     bool m_headSeen = false;
     bool m_skippingResponse = false; // The response belongs to an earlier request.
+    int m_skippedHeads = 0; // Interim responses and responses to earlier requests that arrived during the call.
+    std::size_t m_skippedBytes = 0; // Body bytes of the latter.
 };
 
 template<class Buffers>
--- a/shell/http_client.cpp
+++ b/shell/http_client.cpp
@@ -61,7 +61,7 @@
 
 running_call connection_pool::start(const std::string &address, http_call call, std::shared_ptr<http_receiver> receiver)
 {
-    auto connection = acquireIdle(address);
+    auto connection = call.newConnection ? nullptr : acquireIdle(address);
     if (!connection) {
         connection = std::make_shared<client_connection>(m_io, weak_from_this(), address, m_options);
         m_open.insert(connection);
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -21,6 +21,12 @@
 // Delay after a failed accept, such as one for want of file descriptors.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds{50};
 
+bool bytesPending(const tcp::socket &socket)
+{
+    boost::system::error_code error;
+    return socket.available(error) > 0 && !error;
+}
+
 class plain_session final : public caller_session
 {
 public:
@@ -30,6 +36,8 @@
     {
     }
 
+    bool hasPendingInput() const override { return bytesPending(m_socket); }
+
 private:
     std::shared_ptr<plain_session> self() { return std::static_pointer_cast<plain_session>(shared_from_this()); }
 
@@ -66,6 +74,8 @@
     {
     }
 
+    bool hasPendingInput() const override { return bytesPending(m_stream.next_layer()); }
+
 private:
     std::shared_ptr<tls_session> self() { return std::static_pointer_cast<tls_session>(shared_from_this()); }
 
@@ -362,12 +372,27 @@
     m_acceptTimer.cancel();
 }
 
+// Accepts the connections that wait in the queue, as their requests may have been sent already.
+void http_server::acceptPending()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_io);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            addSession(std::move(socket));
+        }
+    }
+}
+
 void http_server::closeIdle()
 {
+    acceptPending();
     stopListening();
     std::vector<std::shared_ptr<caller_session>> idle;
     for (const auto &[key, session] : m_sessions) {
-        if (session->isIdle()) {
+        if (session->isIdle() && !session->hasPendingInput()) {
             idle.push_back(session);
         }
     }
@@ -386,6 +411,13 @@
     }
 }
 
+bool http_server::isReceiving() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) {
+        return !entry.second->hasRequest() && (entry.second->isArriving() || entry.second->hasPendingInput());
+    });
+}
+
 bool http_server::flushed() const
 {
     return std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return entry.second->hasOutput(); });
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -62,6 +62,8 @@
     void closeAll();
     // Returns whether all output has been written to the callers.
     bool flushed() const;
+    // Returns whether a request has been received in part, or waits to be read.
+    bool isReceiving() const;
 
 private:
     const server_limits &limits() const override { return m_settings.limits; }
@@ -81,6 +83,7 @@
 
     absl::Status loadTls();
     void accept();
+    void acceptPending();
     void addSession(boost::asio::ip::tcp::socket socket);
     std::shared_ptr<caller_session> sessionOf(caller_id caller);
     void sweepLater();
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -59,7 +59,10 @@
 private:
     class receiver;
 
+    void breakOff(attempt_number attempt);
+
     static constexpr auto releaseMargin = std::chrono::milliseconds{150}; // The core decides at the deadline. This timeout only frees the connection.
+    static constexpr std::size_t maxPlainAnswer = 4 * 1024UL * 1024UL; // Bytes of an answer that is collected before it is passed on.
     static constexpr std::uint64_t maxStream = std::uint64_t{1} << 40U; // Bytes. The size of a stream is not known in advance.
     static constexpr auto orderTimeout = std::chrono::milliseconds{900};
     static constexpr auto releaseTimeout = std::chrono::milliseconds{500};
@@ -103,8 +106,10 @@
     {
         if (m_streaming) {
             m_client.m_sink(stream_part{m_reply.attempt, std::string(chunk)});
-        } else {
+        } else if (m_reply.body.size() + chunk.size() <= maxPlainAnswer) {
             m_reply.body += chunk;
+        } else if (!std::exchange(m_tooLong, true)) {
+            m_client.breakOff(m_reply.attempt);
         }
     }
 
@@ -143,12 +148,22 @@
     relay_reply m_reply;
     bool m_streamRequested = false;
     bool m_streaming = false;
+    bool m_tooLong = false;
 };
 
+// Ends an attempt whose answer is too long to be one.
+template<endpoint_dialect Dialect>
+void relay_client<Dialect>::breakOff(attempt_number attempt)
+{
+    run(relay_abort{attempt});
+    m_sink(relay_attempt_ended{attempt, reply_outcome::Broken});
+}
+
 template<endpoint_dialect Dialect>
 void relay_client<Dialect>::run(const relay_dispatch &command)
 {
     http_call call{.request = m_dialect.encode(command), .timeout = command.timeLeft + releaseMargin, .maxBody = maxStream};
+    call.newConnection = command.repeated;
     call.accepts = [this, id = command.payload->id](const http_fields &fields) { return m_dialect.belongs(fields, id); };
     m_openCalls[command.attempt] = m_http.start(command.address, std::move(call), std::make_shared<receiver>(*this, command));
 }
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -9,6 +9,7 @@
 #include <absl/status/statusor.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include "admin_server.hpp"
@@ -60,6 +61,8 @@
 private:
     static constexpr const char *statePath = "/fleet/state";
     static constexpr auto fetchTimeout = std::chrono::milliseconds{800};
+    static constexpr auto receiveTime = std::chrono::seconds{3}; // Time for requests that arrive while the VM stops.
+    static constexpr auto stopCheckInterval = std::chrono::milliseconds{20};
     static constexpr auto flushTime = std::chrono::seconds{1}; // Time for answers that are still being written when the core has stopped.
     static constexpr auto storeOptions =
         http_client_options{.connectTimeout = std::chrono::milliseconds{300}, .unacknowledgedTimeout = std::chrono::milliseconds{900}, .maxIdlePerAddress = 2};
@@ -88,6 +91,7 @@
     void run(const append_order &command) { m_directory.run(command); }
     void run(const stop_accepting & /*command*/) { m_server.closeIdle(); }
     void run(const stopped &command);
+    void stopWhenQuiet();
 
     boost::asio::io_context &m_io;
     std::string m_settingsFile;
@@ -107,6 +111,8 @@
     admin_server m_admin;
     core_loop<relay_core, relay_input> m_loop;
     boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_stopTimer;
+    time_point m_stopBy{};
     std::uint64_t m_boundsVersion = 0;
     bool m_shuttingDown = false;
 };
@@ -136,6 +142,7 @@
     , m_admin(io, adminViews())
     , m_loop(io, m_clock, m_core, [this] { execute(); })
     , m_signals(io)
+    , m_stopTimer(io)
 {
 }
 
@@ -280,6 +287,23 @@
 template<relay_platform Platform>
 void relay_vm<Platform>::run(const stopped & /*command*/)
 {
+    m_stopBy = m_clock.now() + receiveTime;
+    stopWhenQuiet();
+}
+
+// Stops when no request is left that was received, or is being received, since the core had none.
+template<relay_platform Platform>
+void relay_vm<Platform>::stopWhenQuiet()
+{
+    if ((m_core.openRequests() > 0 || m_server.isReceiving()) && m_clock.now() < m_stopBy) {
+        m_stopTimer.expires_after(stopCheckInterval);
+        m_stopTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                stopWhenQuiet();
+            }
+        });
+        return;
+    }
     m_server.stopListening();
     m_loop.stop([this] { return m_server.flushed(); }, flushTime, [this] { m_logger.write(severity::Info, log_component::Core, "Stopped."); });
 }
--- a/src/fleet_limiter.cpp
+++ b/src/fleet_limiter.cpp
@@ -21,7 +21,8 @@
         const auto [it, added] = m_buckets.try_emplace(account.name);
         auto &entry = it->second;
         if (added) {
-            entry.level = account.burst + m_tolerance;
+            // The tolerance is not available at once: all VMs may have restarted after the account has used it.
+            entry.level = account.burst;
             entry.refilledAt = now;
         } else {
             refill(entry, now);
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -88,15 +88,24 @@
     message_arrival result{true, arrival.added || arrival.restarted, {}};
     if (summary.scope == summary_scope::DataCentre && summary.dataCentre != m_members.self().dataCentre) {
         m_peerHubs[summary.from.vm] = now;
-        if (m_isHub && replaceSource(summary, now)) {
-            result.admitted = applyTotals(summary, nullptr, now);
+        if (m_isHub) {
+            const bool isSource = replaceSource(summary, now);
+            result.admitted = applyUsage(summary, nullptr, isSource, now);
             addUsage(m_fleetUsage, result.admitted);
+            if (isSource) {
+                applyTotals(summary, nullptr, now);
+            }
         }
-    } else if (summary.scope == summary_scope::Fleet && summary.from.vm == m_follows && !m_isHub) {
-        if (const auto *const own = findSent(summary)) {
-            replaceSource(summary, now);
-            result.admitted = applyTotals(summary, own, now);
-        }
+        return result;
+    }
+    const auto *const own = findSent(summary);
+    if (m_isHub || own == nullptr || summary.dataCentre != m_members.self().dataCentre || !summary.hasUsage()) {
+        return result;
+    }
+    const bool isSource = summary.scope == summary_scope::Fleet && summary.from.vm == m_follows && replaceSource(summary, now);
+    result.admitted = applyUsage(summary, own, isSource, now);
+    if (isSource) {
+        applyTotals(summary, own, now);
     }
     return result;
 }
@@ -117,33 +126,56 @@
     if (isLive && !better && !isFollowed) {
         return false;
     }
-    source = {.hub = summary.from.vm, .settled = summary.settled};
+    // The time of the last report stays, so that a silence of all hubs is noticed.
+    source.hub = summary.from.vm;
+    source.settled = summary.settled;
     return true;
 }
 
-std::vector<account_usage> fleet_view::applyTotals(const fleet_summary &summary, const sent_heartbeat *own, time_point now)
+void fleet_view::applyTotals(const fleet_summary &summary, const sent_heartbeat *own, time_point now)
 {
     auto &source = m_remoteSources.at(summary.dataCentre);
-    const bool first = source.receivedAt == time_point{};
-    const bool resumed = !first && now - source.receivedAt >= vmSilenceTimeout;
     source.receivedAt = now;
     source.heardVms = summary.heardVms;
     source.memberVms = summary.memberVms;
     source.changingRole = summary.changingRole;
+    if (!summary.hasLoads) {
+        return;
+    }
     auto loads = summary.loads;
     auto waiting = summary.waiting;
+    if (own != nullptr) {
+        addLoads(loads, own->content->loads, -1);
+        addWaiting(waiting, own->content->waiting, -1);
+    }
+    m_remote.set(summary.dataCentre.value, loads, waiting);
+}
+
+// Returns the admissions to be debited. Those of a hub whose totals are not used are kept until its totals are used in place of the other
+// hub's, so that a change of the hub loses none.
+std::vector<account_usage> fleet_view::applyUsage(const fleet_summary &summary, const sent_heartbeat *own, bool isSource, time_point now)
+{
     auto usage = summary.usage;
     if (own != nullptr) {
-        if (summary.hasLoads) {
-            addLoads(loads, own->content->loads, -1);
-            addWaiting(waiting, own->content->waiting, -1);
-        }
         addUsage(usage, own->content->usage, -1);
     }
-    if (summary.hasLoads) {
-        m_remote.set(summary.dataCentre.value, loads, waiting);
+    auto &reporter = m_usageSources[summary.from.vm];
+    reporter.dataCentre = summary.dataCentre;
+    const bool first = !std::exchange(reporter.reported, true);
+    addUsage(reporter.unapplied, reporter.tracker.onReport(summary.from, usage, first));
+    if (!isSource) {
+        return {};
+    }
+    const auto &source = m_remoteSources.at(summary.dataCentre);
+    const bool resumed = source.receivedAt != time_point{} && now - source.receivedAt >= vmSilenceTimeout;
+    auto admitted = std::exchange(reporter.unapplied, {});
+    for (auto &[vm, other] : m_usageSources) {
+        if (other.dataCentre == summary.dataCentre) {
+            other.unapplied.clear();
+        }
     }
-    return source.usage.onReport(summary.from, usage, first || resumed);
+    // During a silence the rate was reduced by the part of the VMs that were not heard.
+    return resumed ? std::vector<account_usage>{} : admitted;
 }
 
 void fleet_view::setRole(const hub_selection &selection, time_point now)
@@ -317,11 +349,15 @@
                                                                  .changes = report.changes,
                                                                  .candidates = withLoads ? m_members.candidates(now) : std::vector<fleet_member>{},
                                                                  .hasLoads = withLoads});
-    if (scope == summary_scope::Brief) {
+    if (!summary->hasUsage()) {
         return summary;
     }
     summary->usage = report.usage;
     summary->changingRole = report.changingRole;
+    if (scope == summary_scope::Brief) {
+        addUsage(summary->usage, m_fleetUsage);
+        return summary;
+    }
     if (withLoads) {
         summary->loads = report.loads;
         summary->waiting = report.waiting;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -98,7 +98,13 @@
         std::int32_t heardVms = 0;
         std::int32_t memberVms = 0;
         std::vector<endpoint_name> changingRole;
-        usage_tracker usage;
+    };
+    // Admissions that a hub reports.
+    struct usage_source {
+        data_centre_name dataCentre;
+        usage_tracker tracker;
+        std::vector<account_usage> unapplied; // Since the last report of the hub whose totals are used.
+        bool reported = false;
     };
     struct sent_heartbeat {
         std::uint64_t sequence = 0;
@@ -114,7 +120,8 @@
     // Returns whether heartbeats that arrive here are counted. The totals of a followed hub contain them already.
     bool countsDirect() const { return m_isHub || m_follows.empty(); }
     bool replaceSource(const fleet_summary &summary, time_point now);
-    std::vector<account_usage> applyTotals(const fleet_summary &summary, const sent_heartbeat *own, time_point now);
+    void applyTotals(const fleet_summary &summary, const sent_heartbeat *own, time_point now);
+    std::vector<account_usage> applyUsage(const fleet_summary &summary, const sent_heartbeat *own, bool isSource, time_point now);
     const sent_heartbeat *findSent(const fleet_summary &summary) const;
     void setRole(const hub_selection &selection, time_point now);
     void expireSources(time_point now);
@@ -133,6 +140,7 @@
     fleet_totals m_remote; // From summaries.
     std::map<vm_name, direct_source> m_directSources;
     std::map<data_centre_name, remote_source> m_remoteSources;
+    std::map<vm_name, usage_source> m_usageSources; // By hub.
     std::map<vm_name, time_point> m_peerHubs; // Hubs of other data centres that sent totals, with the time of the last ones.
     std::deque<sent_heartbeat> m_sentHeartbeats;
     time_point m_lastHeartbeatAt{};
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -14,6 +14,8 @@
 constexpr duration shortestOverloadRetry = milliseconds{200};
 // Callers leave a stream without an event after this multiple of its objective.
 constexpr std::int64_t abandonFactor = 4;
+constexpr std::int64_t abandonGapFactor = 8; // Multiple of the objective for the pause between events.
+constexpr duration stallMargin = milliseconds{300};
 constexpr duration minAbandonTime = milliseconds{2000};
 constexpr double budgetFraction = 0.75; // Fraction of the retries that the operator allows.
 // Multiple of the objective: about the time in which a full engine finishes its requests.
@@ -278,10 +280,16 @@
     if (!entry.isStream()) {
         return entry.deadline;
     }
-    const auto gap = std::max<duration>(entry.route->objective * abandonFactor, minAbandonTime);
+    const auto gap = std::max<duration>({entry.route->objective * abandonFactor, entry.route->gapObjective * abandonGapFactor, minAbandonTime});
     return std::min(entry.deadline, (entry.headSent ? entry.lastPartAt : entry.arrivedAt) + gap);
 }
 
+// Returns the time at which a stream without a further event is given up: later than its caller would leave.
+time_point relay_requests::stalledAt(const relay_entry &entry) const
+{
+    return callerDeadlineOf(entry) + stallMargin;
+}
+
 std::vector<waiting_count> relay_requests::waitingByService() const
 {
     auto counts = m_components.placement.waitingByService();
@@ -333,6 +341,9 @@
     if (entry.ask) {
         wakeupTime = std::min(wakeupTime, askDueAt(*entry.ask));
     }
+    if (entry.isStream() && entry.firstEventAt && entry.attempt) {
+        wakeupTime = std::min(wakeupTime, stalledAt(entry));
+    }
     const auto caller = entry.request.caller;
     const auto [found, added] = m_wakeupOf.try_emplace(caller, wakeupTime);
     if (!added) {
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -58,6 +58,7 @@
     }
     entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, failoverTime(entry, kind, expected)};
     entry.placedAt = entry.placedAt.value_or(now);
+    const bool repeated = !entry.usedEndpoints.insert(endpoint.info.name).second;
     entry.lastEndpoint = endpoint.info.name;
     m_attempts.emplace(number, entry.request.caller);
     const auto *const account = entry.account;
@@ -71,7 +72,8 @@
                                                    .timeLeft = entry.deadline - now,
                                                    .streamed = entry.isStream() && kind == dispatch_kind::Decode,
                                                    .source = kind == dispatch_kind::Decode ? entry.sentSource : std::nullopt,
-                                                   .resumeAfter = entry.lastEventId});
+                                                   .resumeAfter = entry.lastEventId,
+                                                   .repeated = repeated});
 }
 
 // Sends the request to the decode endpoint once the prompt has been read elsewhere. The attempt replaces the reservation of the slot.
@@ -237,39 +239,54 @@
             m_components.metrics.firstEvent.add(now - entry->arrivedAt);
         }
     }
-    if (entry->firstEventAt) {
-        entry->longestGap = std::max(entry->longestGap, now - entry->lastPartAt);
+    const auto [events, bytes] = readEvents(*entry, part.bytes);
+    if (entry->events.isOverlong()) {
+        m_components.commands.push_back(relay_abort{part.attempt});
+        onLost(*entry, reply_outcome::Broken);
+        return;
     }
-    if (!entry->firstEventAt && entry->request.tokens && entry->placedAt) {
-        m_components.placement.recordStartDelay(now - *entry->placedAt - readingTime(entry->request.tokens->prompt, m_components.speeds.prefillTokensPerMs));
+    // Only whole events are progress, so that an endpoint that sends a byte now and then counts as stalled.
+    if (events > 0) {
+        onStreamProgress(*entry, now);
     }
-    entry->firstEventAt = entry->firstEventAt.value_or(now);
-    entry->lastPartAt = now;
-    if (entry->attempt->failoverAt) {
-        entry->attempt->failoverAt = now + std::max<duration>(entry->route->gapObjective * gapFactor, milliseconds{700});
-        scheduleWakeup(*entry);
+    if (!bytes.empty()) {
+        m_components.commands.push_back(answer_stream_bytes{entry->request.caller, bytes});
     }
-    forwardStreamBytes(*entry, part.bytes);
 }
 
-// Sends stream bytes to the caller. A stream that may resume at another endpoint is sent in whole events only.
-void relay_requests::forwardStreamBytes(relay_entry &entry, std::string_view bytes)
+void relay_requests::onStreamProgress(relay_entry &entry, time_point now)
 {
-    if (!entry.route->resumable) {
-        m_components.commands.push_back(answer_stream_bytes{entry.request.caller, std::string(bytes)});
-        return;
+    if (entry.firstEventAt) {
+        entry.longestGap = std::max(entry.longestGap, now - entry.lastPartAt);
+    }
+    if (!entry.firstEventAt && entry.request.tokens && entry.placedAt) {
+        m_components.placement.recordStartDelay(now - *entry.placedAt - readingTime(entry.request.tokens->prompt, m_components.speeds.prefillTokensPerMs));
     }
-    std::string wholeEvents;
+    entry.firstEventAt = entry.firstEventAt.value_or(now);
+    entry.lastPartAt = now;
+    if (entry.attempt->failoverAt) {
+        entry.attempt->failoverAt = now + std::max<duration>(entry.route->gapObjective * gapFactor, milliseconds{700});
+    }
+    scheduleWakeup(entry);
+}
+
+// Returns the number of events that the bytes complete, and the bytes for the caller. A stream that may resume at another endpoint is passed
+// on in whole events only, and without those that the caller has.
+relay_requests::stream_bytes relay_requests::readEvents(relay_entry &entry, std::string_view bytes)
+{
+    stream_bytes result;
     entry.events.feed(bytes, [&](std::string_view event, std::optional<std::uint64_t> id) {
-        if (id && entry.lastEventId && *id <= *entry.lastEventId) {
+        ++result.events;
+        if (!entry.route->resumable || (id && entry.lastEventId && *id <= *entry.lastEventId)) {
             return;
         }
         entry.lastEventId = id ? id : entry.lastEventId;
-        wholeEvents += event;
+        result.forCaller += event;
     });
-    if (!wholeEvents.empty()) {
-        m_components.commands.push_back(answer_stream_bytes{entry.request.caller, std::move(wholeEvents)});
+    if (!entry.route->resumable) {
+        result.forCaller = bytes;
     }
+    return result;
 }
 
 void relay_requests::on(const caller_disconnected &message)
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -376,6 +376,11 @@
     return m_state->components.routes && m_state->components.endpoints.known() && !m_state->components.shuttingDown;
 }
 
+std::size_t relay_core::openRequests() const
+{
+    return m_state->requests.open();
+}
+
 std::uint64_t relay_core::configVersion() const
 {
     return m_state->components.routes ? m_state->components.routes->version() : 0;
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -231,6 +231,9 @@
             } else {
                 failRequest(entry, failure::Overloaded, outcome::NotRun, "no place in time");
             }
+        } else if (entry.isStream() && entry.firstEventAt && entry.attempt && now >= stalledAt(entry)) {
+            recordAttemptOutcome(entry, false);
+            abortStream(entry, "the endpoint sent no further event");
         } else if (entry.ask && now >= askDueAt(*entry.ask)) {
             onAskOverdue(entry);
         } else if (entry.machine.stage() == relay_stage::Waiting) {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -82,15 +82,16 @@
     std::optional<prefill_source> source; // Prefill result that no decode endpoint has fetched.
     std::optional<prefill_source> sentSource; // Prefill result of the open decode attempt.
     time_point prefilledAt{};
-    std::set<endpoint_name> triedEndpoints;
+    std::set<endpoint_name> triedEndpoints; // Endpoints that the next attempt avoids.
+    std::set<endpoint_name> usedEndpoints; // Endpoints that have had an attempt.
     endpoint_name lastEndpoint;
     std::int32_t runs = 0; // Dispatches that an endpoint may have run.
     std::int32_t dispatches = 0; // Dispatches other than the first prefill.
     bool prefillTried = false;
     std::optional<time_point> placedAt; // Time of the first dispatch.
     std::optional<time_point> firstEventAt;
-    time_point lastPartAt{};
-    duration longestGap{}; // Longest pause between two parts of a stream.
+    time_point lastPartAt{}; // Time of the last whole event.
+    duration longestGap{}; // Longest pause between two events.
     event_splitter events;
     std::optional<std::uint64_t> lastEventId; // Last event that the caller has.
     bool headSent = false;
@@ -151,6 +152,7 @@
     void grant(const placement_request &request, const model_placement &placement);
     void answerAsk(const place_owner &owner, placement_grant answer);
     time_point callerDeadlineOf(const relay_entry &entry) const;
+    time_point stalledAt(const relay_entry &entry) const;
     void removeFromQueue(const relay_entry &entry);
 
     // Attempts.
@@ -180,7 +182,12 @@
     void failRequest(relay_entry &entry, failure reason, outcome result, std::string_view detail);
     void forwardReply(relay_entry &entry, relay_reply reply);
     void abortStream(relay_entry &entry, std::string_view reason);
-    void forwardStreamBytes(relay_entry &entry, std::string_view bytes);
+    struct stream_bytes {
+        int events = 0;
+        std::string forCaller;
+    };
+    static stream_bytes readEvents(relay_entry &entry, std::string_view bytes);
+    void onStreamProgress(relay_entry &entry, time_point now);
     void finish(relay_entry &entry, std::string_view result, int status);
     void logResult(const relay_entry &entry, std::string_view result, int status) const;
 
--- a/test/fleet_limiter_test.cpp
+++ b/test/fleet_limiter_test.cpp
@@ -127,11 +127,21 @@
 {
     fleet_limiter tolerant(50);
     tolerant.setAccounts({accountWith(100, 100)}, now);
+    now += milliseconds{500};
     BOOST_TEST(admitUntilRefused(tolerant, 10) == 15);
     now += milliseconds{1000};
     BOOST_TEST(admitUntilRefused(tolerant, 10) == 10);
 }
 
+// Guards against an account that gets its burst and the tolerance once more when all VMs have restarted (hunt: kohid-lab trouble-3, seed
+// 743178218200, a tenant at 4.7 times its rate when all processes are killed).
+BOOST_AUTO_TEST_CASE(restartedVmsDoNotGrantTheToleranceAgain)
+{
+    fleet_limiter restarted(50);
+    restarted.setAccounts({accountWith(100, 100)}, now);
+    BOOST_TEST(admitUntilRefused(restarted, 10) == 10);
+}
+
 // Guards against a request larger than the burst that is never admitted.
 BOOST_AUTO_TEST_CASE(largeRequestsAreAdmittedByAFullBucket)
 {
--- a/test/fleet_scale_test.cpp
+++ b/test/fleet_scale_test.cpp
@@ -438,6 +438,49 @@
     BOOST_TEST(static_cast<double>(admitted) >= limit * 0.9);
 }
 
+// Replays the loss of the hubs of each data centre in turn while one account sends far more than its limit. Guards against admissions that no
+// other VM debits, because they were reported to a hub that was lost and to its successor as a baseline only (hunt: lucegel-catania-grown
+// hunt-730d-7).
+BOOST_AUTO_TEST_CASE(lostHubsLoseNoAdmissions)
+{
+    constexpr double rate = 400;
+    constexpr double burst = 200;
+    simulated_fleet fleet({.vmsPerDataCentre = 12, .dataCentres = 3, .largePerDataCentre = 2, .seed = 3});
+    fleet.publish(fleetConfig(1, rate, burst));
+    fleet.announce(desk(1));
+    fleet.startAll();
+    fleet.runFor(seconds{4});
+    const auto start = fleet.now();
+    std::uint64_t admitted = 0;
+    std::size_t nextLost = 0;
+    auto nextLossAt = start + seconds{1};
+    while (fleet.now() - start < seconds{9}) {
+        for (int n = 0; n < 8; ++n) {
+            const auto i = static_cast<std::size_t>(fleet.randomBelow(static_cast<int>(fleet.vms.size())));
+            if (fleet.vms[i].core && fleet.request(i, "/lookup/1")) {
+                ++admitted;
+                fleet.answer(i, fleet.vms[i].dispatches.back());
+            }
+        }
+        if (fleet.now() >= nextLossAt && nextLost < 3) {
+            // The first large VMs of each data centre are its hubs.
+            for (std::size_t i = nextLost * 12; i < nextLost * 12 + 2; ++i) {
+                if (fleet.isHub(i)) {
+                    fleet.kill(i);
+                    break;
+                }
+            }
+            ++nextLost;
+            nextLossAt += seconds{2};
+        }
+        fleet.runFor(milliseconds{1});
+    }
+    const auto limit = rate * std::chrono::duration<double>(fleet.now() - start).count() + burst;
+    BOOST_TEST_MESSAGE("admitted " << admitted << " of " << limit);
+    BOOST_TEST(static_cast<double>(admitted) <= limit * 1.1);
+    BOOST_TEST(static_cast<double>(admitted) >= limit * 0.85);
+}
+
 // Replays bursts of short requests that reach many VMs. Guards against VMs that all choose the endpoint that was free a moment ago: each of
 // them sees so few requests that it cannot tell the load by itself.
 BOOST_AUTO_TEST_CASE(shortRequestsAreSpreadInABurst)
--- a/test/relay_core_test.cpp
+++ b/test/relay_core_test.cpp
@@ -389,6 +389,47 @@
     BOOST_TEST(streamEnds == 1);
 }
 
+// Guards against an endpoint that sends a byte now and then and never an event: its stream would go on until the deadline.
+BOOST_AUTO_TEST_CASE(stalledStreamsThatSendBytesEnd)
+{
+    auto config = sampleRelayConfig();
+    config.routes[2].timeout = std::chrono::seconds{30};
+    configure(config);
+    announce({endpointNamed("dec-1", "llm", endpoint_role::Decode)});
+    submit("/draft/1", "k-acme", std::chrono::seconds{30}, token_count{10, 10, {}});
+    beginStream(dispatches.back());
+    streamPart(dispatches.back(), "id: 1\ndata: a\n\n");
+    // Events come slowly, but they come: the stream goes on.
+    for (int i = 2; i < 6; ++i) {
+        advance(milliseconds{1500});
+        streamPart(dispatches.back(), "id: " + std::to_string(i) + "\ndata: a\n\n");
+    }
+    BOOST_TEST(abortedAnswers == 0);
+    // Only bytes come. Callers leave after two seconds without an event.
+    for (int i = 0; i < 30; ++i) {
+        advance(milliseconds{100});
+        streamPart(dispatches.back(), "x");
+    }
+    BOOST_TEST(abortedAnswers == 1);
+    BOOST_TEST(streamEnds == 0);
+}
+
+// Guards against an event without an end that is collected without a bound.
+BOOST_AUTO_TEST_CASE(overlongEventsEndTheAttempt)
+{
+    configureEngines();
+    sendModelRequest("/resume/1");
+    core.handle(prefill_reply{dispatches[0].attempt, "h1"});
+    collect();
+    const auto stream = dispatches.back();
+    beginStream(stream);
+    for (int i = 0; i < 40 && abortedAttempts.empty(); ++i) {
+        streamPart(stream, std::string(16 * 1024, 'x'));
+    }
+    BOOST_REQUIRE(!abortedAttempts.empty());
+    BOOST_TEST(abortedAttempts[0] == stream.attempt);
+}
+
 // Replays a load of four times what the slots can serve. Guards against a queue order that makes every request late.
 BOOST_AUTO_TEST_CASE(overloadStillServesRequestsInTime)
 {
