Let a started VM take over the levels of the limits

Cause: a VM that starts holds a full burst of every account, also when the account has used up its limit at the others.

Change: heartbeats and summaries carry the level of each account in use, and a VM that has had a configuration for less than 1.5 s lowers its levels to them (startedVmsTakeOverTheLevel).

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -147,8 +148,11 @@
 struct account_usage {
     account_name account;
     double admitted = 0;
+    // Units that the VM would still admit at once. A VM that has just started takes the level over, as it does not know what was admitted before.
+    double level = std::numeric_limits<double>::infinity();
 
-    bool operator==(const account_usage &) const = default;
+    // The level changes with time alone.
+    bool operator==(const account_usage &other) const { return account == other.account && admitted == other.admitted; }
 };
 
 // Requests of a service that wait for a place.
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int format = 4; // Version of the message format. Messages in another format are rejected.
+constexpr int format = 5; // Version of the message format. Messages in another format are rejected.
 constexpr char heartbeatKind = 'H';
 constexpr char summaryKind = 'S';
 constexpr char askKind = 'A';
@@ -109,7 +109,7 @@
                        }),
             encodeList(message.changingRole, [](const auto &name) { return json(name.value); }),
             encodeList(message.usage, [](const auto &usage) {
-                return json{usage.account.value, usage.admitted};
+                return json{usage.account.value, usage.admitted, usage.level};
             })};
 }
 
@@ -124,7 +124,7 @@
     });
     message.changingRole = decodeList<endpoint_name>(in.at(2), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
     message.usage = decodeList<account_usage>(in.at(3), [](const json &usage) {
-        return account_usage{{usage.at(0).get<std::string>()}, usage.at(1).get<double>()};
+        return account_usage{{usage.at(0).get<std::string>()}, usage.at(1).get<double>(), usage.at(2).get<double>()};
     });
 }
 
@@ -231,7 +231,7 @@
         return makeStatus(failure::MalformedMessage, "fleet message: expected a VM name that is not empty and an address of the form IP:PORT");
     }
     for (const auto &used : message.usage) {
-        if (!std::isfinite(used.admitted)) {
+        if (!std::isfinite(used.admitted) || std::isnan(used.level)) {
             return makeStatus(failure::MalformedMessage, "fleet message: expected a finite number as the usage of an account");
         }
     }
@@ -348,7 +348,7 @@
     try {
         const auto in = json::from_cbor(bytes.substr(prefix));
         if (!in.is_array() || in.empty() || in[0] != format) {
-            return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 4");
+            return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 5");
         }
         if (kind == heartbeatKind) {
             return checked(readHeartbeat(in));
--- a/src/fleet_limiter.cpp
+++ b/src/fleet_limiter.cpp
@@ -78,13 +78,24 @@
 {
     std::vector<account_usage> usages;
     for (const auto &[name, entry] : m_buckets) {
-        if (entry.admitted != 0) {
-            usages.push_back({name, entry.admitted});
+        if (entry.admitted != 0 || entry.level < entry.burst) {
+            usages.push_back({name, entry.admitted, entry.level});
         }
     }
     return usages;
 }
 
+void fleet_limiter::adoptLevels(const std::vector<account_usage> &usage, time_point now)
+{
+    for (const auto &each : usage) {
+        const auto it = m_buckets.find(each.account);
+        if (it != m_buckets.end()) {
+            refill(it->second, now);
+            it->second.level = std::min(it->second.level, each.level);
+        }
+    }
+}
+
 void fleet_limiter::debit(const std::vector<account_usage> &admitted, time_point now)
 {
     for (const auto &each : admitted) {
--- a/src/fleet_limiter.hpp
+++ b/src/fleet_limiter.hpp
@@ -31,8 +31,10 @@
     // Returns the units of an admitted request that has not run and never will.
     void refund(const account_name &account, double units);
 
-    // Returns the units that this VM has admitted since its start, per account.
+    // Returns the units that this VM has admitted since its start and the levels, for accounts that are in use.
     std::vector<account_usage> usage() const;
+    // Lowers the levels to those of another VM. A VM that has just started would grant the burst once more.
+    void adoptLevels(const std::vector<account_usage> &usage, time_point now);
     // Debits what other VMs have admitted since the last call. Refunds are negative.
     void debit(const std::vector<account_usage> &admitted, time_point now);
 
--- a/src/fleet_totals.cpp
+++ b/src/fleet_totals.cpp
@@ -44,7 +44,10 @@
 
 void addUsage(std::vector<account_usage> &list, const std::vector<account_usage> &more, int sign)
 {
-    mergeInto(list, more, &account_usage::account, [sign](auto &sum, const auto &usage) { sum.admitted += sign * usage.admitted; });
+    mergeInto(list, more, &account_usage::account, [sign](auto &sum, const auto &usage) {
+        sum.admitted += sign * usage.admitted;
+        sum.level = std::min(sum.level, usage.level);
+    });
 }
 
 void fleet_totals::add(const report &entry, int sign)
@@ -130,7 +133,7 @@
         const double increment = report.admitted - known;
         known = report.admitted;
         if (!baselineOnly && increment != 0) {
-            increments.push_back({report.account, increment});
+            increments.push_back({.account = report.account, .admitted = increment});
         }
     }
     return increments;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -13,6 +13,7 @@
 
 constexpr duration maxTickInterval = std::chrono::milliseconds{500};
 constexpr duration fetchInterval = std::chrono::milliseconds{300}; // Pause between two transfers of state from other VMs.
+constexpr duration levelAdoptionTime = std::chrono::milliseconds{1500}; // A VM that has started hears a hub within this time.
 constexpr duration reportInterval = std::chrono::milliseconds{4}; // Changes of work within this time share a heartbeat.
 constexpr duration membersReadInterval = std::chrono::seconds{3}; // Longer than the search for a hub among the known VMs.
 // Changes are repeated for this time, so that a lost summary delays them only.
@@ -57,7 +58,8 @@
         requests.on(std::move(message));
     }
 
-    void onMessage(const fleet_view::message_arrival &arrival, const vm_name &vm, const std::string &address);
+    template<class Message>
+    void onMessage(const fleet_view::message_arrival &arrival, const Message &message);
     void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
     void onSummaryOfDirectory(const fleet_summary &summary);
     own_report report(time_point now);
@@ -71,6 +73,7 @@
     relay_components components;
     relay_requests requests;
     directory_follower follower;
+    std::optional<time_point> configuredAt; // Time of the first configuration.
     directory_state directoryState;
     time_point lastChangeAt{}; // Time at which this VM learned of the newest change of an endpoint.
     std::uint64_t lastChange = 0; // The position after that change.
@@ -90,6 +93,7 @@
     if (components.routes && read.config->version <= components.routes->version()) {
         return;
     }
+    configuredAt = configuredAt.value_or(components.clock.now());
     const auto previousVersion = components.routes ? components.routes->version() : 0;
     components.routes = std::make_shared<route_table>(read.config);
     components.limiter.setAccounts(read.config->accounts, components.clock.now());
@@ -134,12 +138,17 @@
     }
 }
 
-void relay_core::state::onMessage(const fleet_view::message_arrival &arrival, const vm_name &vm, const std::string &address)
+template<class Message>
+void relay_core::state::onMessage(const fleet_view::message_arrival &arrival, const Message &message)
 {
+    const auto now = components.clock.now();
     ++components.metrics.heartbeatsReceived;
-    components.limiter.debit(arrival.admitted, components.clock.now());
+    components.limiter.debit(arrival.admitted, now);
+    if (configuredAt && now - *configuredAt < levelAdoptionTime) {
+        components.limiter.adoptLevels(message.usage, now);
+    }
     if (arrival.fromNewVm) {
-        components.logMessage(severity::Info, log_component::Member, "vm=" + vm.value + " heard address=" + address);
+        components.logMessage(severity::Info, log_component::Member, "vm=" + message.from.vm.value + " heard address=" + message.address);
     }
 }
 
@@ -149,7 +158,7 @@
     if (!arrival.fresh) {
         return;
     }
-    onMessage(arrival, heartbeatMessage.from.vm, heartbeatMessage.address);
+    onMessage(arrival, heartbeatMessage);
     components.endpoints.onRoleChange(heartbeatMessage.changingRole, components.clock.now());
     for (const auto &outcomes : heartbeatMessage.outcomes) {
         if (auto *const endpoint = components.endpoints.find(outcomes.endpoint)) {
@@ -165,7 +174,7 @@
     if (!arrival.fresh) {
         return;
     }
-    onMessage(arrival, summary.from.vm, summary.address);
+    onMessage(arrival, summary);
     components.endpoints.onRoleChange(summary.changingRole, components.clock.now());
     components.endpoints.onReannouncing(summary.knowledge.reannounceLeft, components.clock.now());
     onSummaryOfDirectory(summary);
--- a/test/fleet_limiter_test.cpp
+++ b/test/fleet_limiter_test.cpp
@@ -152,4 +152,21 @@
     BOOST_TEST(!limiterA.admit({"acme"}, 10, now).has_value());
 }
 
+// Guards against a VM that starts while an account has used up its limit and grants the burst once more.
+BOOST_AUTO_TEST_CASE(startedVmsTakeOverTheLevel)
+{
+    BOOST_TEST(admitUntilRefused(limiterA, 10) == 10);
+    fleet_limiter started;
+    started.setAccounts({accountWith(100, 100)}, now);
+    started.adoptLevels(limiterA.usage(), now);
+    BOOST_TEST(admitUntilRefused(started, 10) == 0);
+    now += milliseconds{500};
+    BOOST_TEST(admitUntilRefused(started, 10) == 5);
+    // A full bucket elsewhere raises no level.
+    fleet_limiter full;
+    full.setAccounts({accountWith(100, 100)}, now);
+    started.adoptLevels(full.usage(), now);
+    BOOST_TEST(admitUntilRefused(started, 10) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
