--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -247,6 +247,88 @@
     assert process.wait(timeout=8) == 0
 
 
+class KeptConnections:
+    """Sends requests on kept connections until the VM accepts no more, and records those that were cut."""
+
+    def __init__(self, fleet, name, count):
+        self.port = fleet.relays[name][1][0]
+        self.answered, self.cut = [], []
+        self.threads = [threading.Thread(target=self.run, args=(number,)) for number in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, number):
+        connection, sent = None, 0
+        while True:
+            sent += 1
+            request_id = f"kept-{number}-{sent}"
+            headers = {"Host": "shop.example", "X-Request-Id": request_id, "X-Deadline-Ms": "3000", "Authorization": "Bearer k-1"}
+            try:
+                if connection is None:
+                    connection = http.client.HTTPConnection(HOST, self.port, timeout=5)
+                    connection.connect()
+            except OSError:
+                return
+            try:
+                connection.request("POST", "/book/1", b"x", headers)
+                response = connection.getresponse()
+                response.read()
+                self.answered.append((request_id, response.status))
+                if response.will_close:
+                    connection.close()
+                    connection = None
+            except (OSError, http.client.HTTPException):
+                self.cut.append(request_id)
+                connection.close()
+                connection = None
+
+    def join(self):
+        for thread in self.threads:
+            thread.join()
+
+
+def send_in_halves(port, request_id, first_at, second_at, results):
+    text = (
+        f"POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {request_id}\r\nX-Deadline-Ms: 3000\r\n"
+        "Authorization: Bearer k-1\r\nContent-Length: 1\r\n\r\nx"
+    ).encode()
+    time.sleep(max(first_at - time.monotonic(), 0))
+    with socket.create_connection((HOST, port), timeout=5) as connection:
+        connection.sendall(text[:60])
+        time.sleep(max(second_at - time.monotonic(), 0))
+        try:
+            connection.sendall(text[60:])
+            results[request_id] = connection.recv(4096)
+        except OSError as error:
+            results[request_id] = str(error).encode()
+
+
+def check_stop_under_load(fleet, desk_worker):
+    """Guards against requests that are cut by a planned stop: accepted ones, and one that is half received when all others have ended."""
+    process, ports = fleet.relays["vm-2"]
+    load = KeptConnections(fleet, "vm-2", 24)
+    time.sleep(0.5)
+    stopped_at = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    results = {}
+    halves = [
+        threading.Thread(target=send_in_halves, args=(ports[0], f"half-{begin}", stopped_at + begin, stopped_at + begin + 0.6, results))
+        for begin in (0.1, 1.2, 2.3)
+    ]
+    for thread in halves:
+        thread.start()
+    load.join()
+    for thread in halves:
+        thread.join()
+    assert process.wait(timeout=8) == 0
+    run = {headers.get("X-Request-Id") for _, headers, _ in desk_worker.received}
+    lost = [request_id for request_id in load.cut if request_id in run]
+    assert not lost, f"{len(lost)} requests were passed on and cut, such as {lost[0]}"
+    assert len(load.answered) > 100 and all(status == 200 for _, status in load.answered), load.answered[-3:]
+    for request_id, answer in results.items():
+        assert answer.startswith(b"HTTP/1.1 200"), (request_id, answer)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", required=True)
@@ -271,6 +353,7 @@
         check_unread_log(fleet)
         check_outage(fleet)
         check_withdrawal(fleet)
+        check_stop_under_load(fleet, desk_worker)
         check_shutdown(fleet, decode_worker)
         print("platform path: ok")
     finally:
