--- a/src/event_splitter.hpp
+++ b/src/event_splitter.hpp
@@ -28,7 +28,7 @@
     }
 
     // Bytes after which an event without an end is no event. The events of a stream have a few tokens.
-    static constexpr std::size_t maxEventSize = 256 * 1024;
+    static constexpr std::size_t maxEventSize = 256 * 1024UL;
     bool isOverlong() const { return m_rest.size() > maxEventSize; }
     // Returns the bytes of an event whose end has not arrived.
     std::string_view rest() const { return m_rest; }
