Log the share of the limits that a VM grants

No line told with which share of a limit, and with which level, a VM admitted a request, so that a loss of all VMs, a partition and reports in transit looked the same in the logs. A line is written when the share changes (heard VMs, VMs that may be running, hub that is followed), and a refusal names the units that were asked for and those that were left.

--- a/src/fleet_limiter.cpp
+++ b/src/fleet_limiter.cpp
@@ -74,6 +74,12 @@
     it->second.admitted -= units;
 }
 
+double fleet_limiter::level(const account_name &account) const
+{
+    const auto it = m_buckets.find(account);
+    return it == m_buckets.end() ? 0 : it->second.level;
+}
+
 std::vector<account_usage> fleet_limiter::usage() const
 {
     std::vector<account_usage> usages;
--- a/src/fleet_limiter.hpp
+++ b/src/fleet_limiter.hpp
@@ -31,6 +31,8 @@
     // Returns the units of an admitted request that has not run and never will.
     void refund(const account_name &account, double units);
 
+    // Returns the units that this VM would still admit, as of the last request or report. It is 0 for an unknown account.
+    double level(const account_name &account) const;
     // Returns the units that this VM has admitted since its start and the levels, for accounts that are in use.
     std::vector<account_usage> usage() const;
     // Lowers the levels to those of another VM. A VM that has just started would grant the burst once more.
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -2,6 +2,7 @@
 #include "relay_requests.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plantainpoint {
 
@@ -93,7 +94,8 @@
     if (!wait) {
         return true;
     }
-    const auto detail = "account " + entry.account->name.value + " is over its limit";
+    const auto detail = "account " + entry.account->name.value + " is over its limit: " + std::to_string(std::llround(entry.units)) + " units asked, "
+                        + std::to_string(std::llround(m_components.limiter.level(entry.account->name))) + " left here";
     refuse(entry.request.caller, *entry.request.payload, failure::RateExceeded, addJitter(*wait, entry.request.payload->id), detail);
     return false;
 }
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -30,6 +30,14 @@
 
 } // namespace
 
+// The part of every limit that this VM grants: the VMs whose admissions it knows, of those that may be running.
+struct limit_share {
+    std::size_t heardVms = 1;
+    std::size_t memberVms = 1;
+
+    bool operator==(const limit_share &) const = default;
+};
+
 struct relay_core::state {
     state(relay_settings settings, const clock_source &clock)
         : components(std::move(settings), clock)
@@ -66,6 +74,7 @@
     own_report report(time_point now);
     void reportChangedWork(time_point now);
     void exchangeFleetMessages(time_point now);
+    void updateLimitShare(time_point now);
     void readDirectory(time_point now);
     directory_role directoryRole(time_point now) const;
     void planRoles(time_point now);
@@ -82,6 +91,7 @@
     time_point nextExchange{};
     std::uint64_t reportedWork = 0; // Version of the work that the last heartbeat reported.
     time_point lastReportAt{};
+    limit_share lastLimitShare;
     time_point nextFetch{};
     time_point nextMembersRead{};
     std::optional<time_point> shutdownAt;
@@ -271,12 +281,26 @@
     }
     nextExchange = now + (components.fleet.isHub() ? placingHubInterval : fleetMessageInterval);
     reportedWork = requests.workVersion();
-    components.limiter.setVisibility(components.fleet.heard(now), components.fleet.members(now));
+    updateLimitShare(now);
     const auto before = components.commands.size();
     components.fleet.exchange(report(now), now, components.commands);
     components.metrics.heartbeatsSent += components.commands.size() - before;
 }
 
+// Tells the limiter of the part of the fleet whose admissions this VM knows.
+void relay_core::state::updateLimitShare(time_point now)
+{
+    const limit_share share{components.fleet.heard(now), components.fleet.members(now)};
+    components.limiter.setVisibility(share.heardVms, share.memberVms);
+    if (share != lastLimitShare) {
+        lastLimitShare = share;
+        components.logMessage(severity::Info,
+                              log_component::Member,
+                              "limits share=" + std::to_string(share.heardVms) + '/' + std::to_string(share.memberVms)
+                                  + " follows=" + (components.fleet.followed().empty() ? std::string("-") : components.fleet.followed().value));
+    }
+}
+
 // Tells the hub of changed work at once, as it places the requests of the other VMs by it.
 void relay_core::state::reportChangedWork(time_point now)
 {
@@ -432,6 +456,7 @@
     result["config_version"] = configVersion();
     result["directory_reachable"] = m_state->components.endpoints.reachable();
     result["vms_heard"] = m_state->components.fleet.heard(now);
+    result["vms"] = m_state->components.fleet.members(now);
     result["hub"] = m_state->components.fleet.isHub();
     return result;
 }
