Test the limit of an account while VMs are lost, cut off or frozen

Replays of relay cores in virtual time with the operator's bound (rate * 8 s + burst, a tenth more, and the tolerance) over what is sent to endpoints. The simulated VMs read the list of VMs 210 ms after their start, as the adapter does; they had it at once, and a VM that starts with all others acted differently.

--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -106,7 +106,12 @@
                                                                 .limitTolerance = m_settings.limitTolerance,
                                                                 .directPrefillLimit = {}},
                                                  m_clock);
-        readMembers(index);
+        // A VM announces itself and reads the others a moment later, so that VMs that start together find each other.
+        schedule(milliseconds{210}, [this, index, core = each.core.get()] {
+            if (vms[index].core.get() == core) {
+                readMembers(index);
+            }
+        });
         tick(index);
     }
 
