Grant of a limit only what no other VM may grant

Cause: a VM admitted by a bucket that holds the whole limit and learnt afterwards what the others had admitted. Wherever that knowledge was missing, the limit was granted once more: at each VM that was cut off from the others (only the rate was divided, after 1.5 s, and not the level), at each start after a loss of all VMs (one burst each, at the whole rate until the VMs heard each other), at each VM that hears the others and is not heard, for VMs that are silent for more than 6 s, and while a report was on its way. Class of fault: acting on a resource that may have been given away elsewhere.

Change: - The hub that places a request checks the limit with the same ask. The VMs of a data centre copy its levels instead of adding up reports. - An ask without an answer goes to the other hub of the data centre. If none answers, the VM grants its own share of the members only. - A share that falls (silent VMs, totals of this VM that another data centre does not acknowledge) cuts the level as well as the rate. - A VM starts with a fiftieth of a bucket, grants nothing more before it knows the other VMs, and takes the levels of a hub over. - Silent VMs count as members for 30 s, and so do those of the directory's list that were never heard. - A VM that was suspended runs a tick before it acts on a message. Messages of the earlier format are refused, as their senders check no limit at the hub; during a replacement both parts of the fleet grant their share.

Remaining: parts of a partition of more than 30 s grant the whole rate each (docs/decisions/platform.md).

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -145,11 +145,11 @@
     bool operator==(const endpoint_load &) const = default;
 };
 
-// Units of an account's limit that a VM has admitted since its start, without those it refunded.
+// Units of an account's limit that a VM, or the VMs of a data centre, have admitted since their start, without those they refunded.
 struct account_usage {
     account_name account;
     double admitted = 0;
-    // Units that the VM would still admit at once. A VM that has just started takes the level over, as it does not know what was admitted before.
+    // Units that the VM would still admit at once. The VMs that follow a hub take its level over.
     double level = std::numeric_limits<double>::infinity();
 
     // The level changes with time alone.
@@ -215,7 +215,7 @@
 };
 
 enum class summary_scope : std::uint8_t {
-    Brief, // No totals but the admissions of all VMs, and these not in every message.
+    Brief, // No totals but the levels of the limits, and these not in every message.
     DataCentre, // Totals of the hub's data centre, for the hubs of the others.
     Fleet, // Totals of all VMs, for the VMs that follow the hub.
 };
@@ -246,8 +246,9 @@
     std::vector<endpoint_load> loads;
     std::vector<waiting_count> waiting;
     std::vector<endpoint_name> changingRole;
-    std::vector<account_usage> usage;
-    // Last heartbeat of the receiver that the totals include. The sequence is 0 if there is none.
+    std::vector<account_usage> usage; // Admissions of the data centre, or of this VM only in another scope.
+    // Last heartbeat of the receiver that the totals include, or its last totals if it is a hub of another data centre. The sequence is 0 if
+    // there is none.
     std::uint64_t receiverIncarnation = 0;
     std::uint64_t acknowledged = 0;
 
@@ -274,17 +275,20 @@
     duration holdTime{}; // Time for which a request holds its place, as the VM has seen it.
     std::vector<endpoint_name> excluded;
     std::uint64_t seed = 0;
+    account_name account; // Its limit is checked by the hub. The name is empty if there is no limit or the hub has checked it before.
+    double units = 0;
 };
 
 enum class placement_result : std::uint8_t {
     Granted,
     Queued, // A grant follows.
     Refused, // No place is expected in time.
+    LimitReached, // The account may get the units after the expected wait.
 };
 
 constexpr std::string_view nameOf(placement_result value)
 {
-    constexpr std::string_view names[]{"granted", "queued", "refused"};
+    constexpr std::string_view names[]{"granted", "queued", "refused", "limit_reached"};
     return names[static_cast<std::size_t>(value)];
 }
 
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int format = 6; // Version of the message format. Messages in another format are rejected.
+constexpr int format = 7; // Version of the message format. Messages in another format are rejected.
 constexpr char heartbeatKind = 'H';
 constexpr char summaryKind = 'S';
 constexpr char askKind = 'A';
@@ -186,12 +186,14 @@
     ask.holdTime = readMicroseconds(in.at(15));
     ask.excluded = decodeList<endpoint_name>(in.at(16), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
     ask.seed = in.at(17).get<std::uint64_t>();
+    ask.account.value = in.at(18).get<std::string>();
+    ask.units = in.at(19).get<double>();
     return ask;
 }
 
 placement_grant readGrant(const json &in)
 {
-    constexpr auto lastResult = static_cast<unsigned>(placement_result::Refused);
+    constexpr auto lastResult = static_cast<unsigned>(placement_result::LimitReached);
     return {.from = {{in.at(1).get<std::string>()}, in.at(2).get<std::uint64_t>()},
             .receiverIncarnation = in.at(3).get<std::uint64_t>(),
             .number = in.at(4).get<std::uint64_t>(),
@@ -291,7 +293,9 @@
                    toMicroseconds(ask.maxEventGap),
                    toMicroseconds(ask.holdTime),
                    encodeList(ask.excluded, [](const auto &name) { return json(name.value); }),
-                   ask.seed};
+                   ask.seed,
+                   ask.account.value,
+                   ask.units};
     return askKind + toBytes(out);
 }
 
@@ -350,13 +354,16 @@
     try {
         const auto in = json::from_cbor(bytes.substr(prefix));
         if (!in.is_array() || in.empty() || in[0] != format) {
-            return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 6");
+            return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 7");
         }
         if (kind == heartbeatKind) {
             return checked(readHeartbeat(in));
         }
         if (kind == askKind) {
             auto ask = readAsk(in);
+            if (!std::isfinite(ask.units) || ask.units < 0) {
+                return makeStatus(failure::MalformedMessage, "ask: expected a number of units that is not negative");
+            }
             return parseAddress(ask.address) ? absl::StatusOr<fleet_message>(std::move(ask))
                                              : makeStatus(failure::MalformedMessage, "ask: expected an address of the form IP:PORT");
         }
--- a/src/fleet_members.hpp
+++ b/src/fleet_members.hpp
@@ -17,8 +17,8 @@
 inline constexpr auto hubSilenceTimeout = std::chrono::milliseconds{600};
 // A VM without a message for this time no longer counts as heard.
 inline constexpr auto vmSilenceTimeout = std::chrono::milliseconds{1500};
-// A VM that is silent for this time has ended or restarts elsewhere, so its share of the limits is free.
-inline constexpr auto vmExpiryTimeout = std::chrono::seconds{6};
+// A VM that is silent for this time counts as ended, so that its share of the limits is free. A VM that is cut off may run on for as long.
+inline constexpr auto vmExpiryTimeout = std::chrono::seconds{30};
 // A silent VM is forgotten after this time.
 inline constexpr auto vmRemovalTimeout = std::chrono::seconds{90};
 
@@ -41,6 +41,8 @@
 
     std::optional<time_point> heardAt() const { return std::max(heartbeatAt, summaryAt); }
     bool isHeard(time_point now) const { return heardAt() && now - *heardAt() < vmSilenceTimeout; }
+    // Returns whether the VM may be running. One that announced that it leaves has ended when it falls silent.
+    bool mayRun(time_point now) const { return !leaving && now - heardAt().value_or(knownSince) < vmExpiryTimeout; }
     bool isLiveHub(time_point now) const { return !leaving && summaryAt && now - *summaryAt < hubSilenceTimeout; }
 };
 
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -14,6 +14,12 @@
 // Every third summary to the followers has the loads and the candidates, which they need only when they lose the hub.
 constexpr int loadsInterval = 3;
 constexpr std::size_t maxSentHeartbeats = 128; // Heartbeats that a hub may still acknowledge.
+constexpr std::size_t maxSentTotals = 64; // Totals that a hub of another data centre may still acknowledge.
+// A hub that has not acknowledged a heartbeat for this time does not hear this VM. Hubs send a summary every 150 ms.
+constexpr auto acknowledgementTimeout = std::chrono::milliseconds{500};
+// The admissions of a data centre without totals for this time are unknown. The totals of its other hub are used before.
+constexpr auto totalsTimeout = std::chrono::milliseconds{450};
+constexpr auto sourceTimeout = std::chrono::milliseconds{200}; // Time without totals after which those of the other hub are used.
 
 std::string grantSource(const place_key &key)
 {
@@ -30,6 +36,7 @@
 
 void fleet_view::onMembers(const members_read &members, time_point now)
 {
+    m_knowsFleet = true;
     for (const auto &member : members.members) {
         m_members.add(member, now);
     }
@@ -41,6 +48,7 @@
     if (arrival.peer == nullptr || heartbeatMessage.sequence <= arrival.peer->heartbeatSequence) {
         return {};
     }
+    m_knowsFleet = true;
     auto &peer = *arrival.peer;
     // A restart of a VM that was heard is not a silence, as everything that its new incarnation has admitted is new.
     const bool heardBefore = peer.heartbeatAt.has_value();
@@ -55,7 +63,12 @@
     source.follows = heartbeatMessage.follows;
     auto admitted = source.usage.onReport(heartbeatMessage.from, heartbeatMessage.usage, resumed);
     addUsage(m_dataCentreUsage, admitted);
-    addUsage(m_fleetUsage, admitted);
+    // Units that were reserved for the VM have been debited before.
+    for (; !source.reservations.empty() && source.reservations.front().heartbeat < heartbeatMessage.sequence; source.reservations.pop_front()) {
+        if (!arrival.restarted && !resumed) {
+            addUsage(admitted, {source.reservations.front().usage}, -1);
+        }
+    }
     if (!countsDirect()) {
         admitted.clear(); // The totals of the followed hub contain them.
     }
@@ -77,6 +90,7 @@
     if (arrival.peer == nullptr || summary.sequence <= arrival.peer->summarySequence) {
         return {};
     }
+    m_knowsFleet = true;
     auto &peer = *arrival.peer;
     peer.summarySequence = summary.sequence;
     peer.summaryAt = now;
@@ -90,10 +104,11 @@
         m_peerHubs[summary.from.vm] = now;
         if (m_isHub) {
             const bool isSource = replaceSource(summary, now);
-            result.admitted = applyUsage(summary, nullptr, isSource, now);
-            addUsage(m_fleetUsage, result.admitted);
+            result.admitted = applyUsage(summary, isSource, now);
             if (isSource) {
                 applyTotals(summary, nullptr, now);
+                m_remoteSources.at(summary.dataCentre).hearsThisVm =
+                    summary.receiverIncarnation == m_incarnation && !isUnheard(m_sentTotals, summary.acknowledged, now);
             }
         }
         return result;
@@ -102,14 +117,24 @@
     if (m_isHub || own == nullptr || summary.dataCentre != m_members.self().dataCentre || !summary.hasUsage()) {
         return result;
     }
-    const bool isSource = summary.scope == summary_scope::Fleet && summary.from.vm == m_follows && replaceSource(summary, now);
-    result.admitted = applyUsage(summary, own, isSource, now);
-    if (isSource) {
+    if (summary.scope == summary_scope::Fleet && summary.from.vm == m_follows && replaceSource(summary, now)) {
         applyTotals(summary, own, now);
+        m_heardByHub = !isUnheard(m_sentHeartbeats, summary.acknowledged, now);
+        if (m_heardByHub) {
+            result.ownIncluded = own->content->usage;
+        }
     }
     return result;
 }
 
+// Returns whether a message that was sent long ago has not been acknowledged.
+template<class Sent>
+bool fleet_view::isUnheard(const std::deque<Sent> &sent, std::uint64_t acknowledged, time_point now)
+{
+    const auto first = std::find_if(sent.begin(), sent.end(), [&](const auto &each) { return each.sequence > acknowledged; });
+    return first != sent.end() && now - first->sentAt > acknowledgementTimeout;
+}
+
 // Returns whether the totals of a data centre are taken from the sender. Two hubs of a data centre report the same work, so that only one
 // counts at a time.
 bool fleet_view::replaceSource(const fleet_summary &summary, time_point now)
@@ -120,7 +145,7 @@
         return true;
     }
     const auto *const current = m_members.find(source.hub);
-    const bool isLive = current != nullptr && current->isLiveHub(now) && now - source.receivedAt < hubSilenceTimeout;
+    const bool isLive = current != nullptr && now - source.receivedAt < sourceTimeout;
     const bool isFollowed = summary.from.vm == m_follows;
     const bool better = summary.settled != source.settled ? summary.settled : current != nullptr && precedes(summary.member(), current->info);
     if (isLive && !better && !isFollowed) {
@@ -153,16 +178,12 @@
 
 // Returns the admissions to be debited. Those of a hub whose totals are not used are kept until its totals are used in place of the other
 // hub's, so that a change of the hub loses none.
-std::vector<account_usage> fleet_view::applyUsage(const fleet_summary &summary, const sent_heartbeat *own, bool isSource, time_point now)
+std::vector<account_usage> fleet_view::applyUsage(const fleet_summary &summary, bool isSource, time_point now)
 {
-    auto usage = summary.usage;
-    if (own != nullptr) {
-        addUsage(usage, own->content->usage, -1);
-    }
     auto &reporter = m_usageSources[summary.from.vm];
     reporter.dataCentre = summary.dataCentre;
     const bool first = !std::exchange(reporter.reported, true);
-    addUsage(reporter.unapplied, reporter.tracker.onReport(summary.from, usage, first));
+    addUsage(reporter.unapplied, reporter.tracker.onReport(summary.from, summary.usage, first));
     if (!isSource) {
         return {};
     }
@@ -203,6 +224,7 @@
     } else if (keepsSource) {
         first = source->second.hub; // Every change loses the admissions of one interval.
     }
+    m_hubs = selection.hubs;
     m_follows = m_isHub ? vm_name{} : first;
     // The second hub asks the first one for places, so that only one VM of a data centre places.
     const bool precedesSelf = !first.empty() && precedes(m_members.find(first)->info, m_members.self());
@@ -261,7 +283,7 @@
             return;
         }
     }
-    const auto heartbeatMessage = makeHeartbeat(report);
+    const auto heartbeatMessage = makeHeartbeat(report, now);
     for (const auto &vm : receivers) {
         m_members.onProbe(vm, now);
         out.push_back(send_heartbeat{m_members.find(vm)->info.address, heartbeatMessage});
@@ -273,11 +295,11 @@
 void fleet_view::reportChange(const own_report &report, time_point now, std::vector<relay_command> &out)
 {
     if (const auto *const hub = placingHub(now)) {
-        out.push_back(send_heartbeat{hub->info.address, makeHeartbeat(report)});
+        out.push_back(send_heartbeat{hub->info.address, makeHeartbeat(report, now)});
     }
 }
 
-std::shared_ptr<const fleet_heartbeat> fleet_view::makeHeartbeat(const own_report &report)
+std::shared_ptr<const fleet_heartbeat> fleet_view::makeHeartbeat(const own_report &report, time_point now)
 {
     const auto &self = m_members.self();
     auto heartbeatMessage = std::make_shared<const fleet_heartbeat>(fleet_heartbeat{.from = {self.vm, m_incarnation},
@@ -293,7 +315,7 @@
                                                                                     .changingRole = report.changingRole,
                                                                                     .usage = report.usage,
                                                                                     .outcomes = report.outcomes});
-    m_sentHeartbeats.push_back({m_heartbeatSequence, heartbeatMessage});
+    m_sentHeartbeats.push_back({m_heartbeatSequence, now, heartbeatMessage});
     if (m_sentHeartbeats.size() > maxSentHeartbeats) {
         m_sentHeartbeats.pop_front();
     }
@@ -309,6 +331,11 @@
     }
 }
 
+void fleet_view::onReservation(const place_key &key, const account_name &account, double units)
+{
+    m_directSources[key.vm].reservations.push_back({key.heartbeat, {.account = account, .admitted = units}});
+}
+
 // Removes the work that a heartbeat contains.
 void fleet_view::removeGrants(const vm_name &vm, direct_source &source, std::uint64_t heartbeat)
 {
@@ -325,11 +352,35 @@
     return hub != nullptr && hub->isLiveHub(now) ? hub : nullptr;
 }
 
-std::size_t fleet_view::countDirect(duration silence, time_point now) const
+std::vector<const fleet_peer *> fleet_view::placingHubs(time_point now) const
+{
+    std::vector<const fleet_peer *> result;
+    if (const auto *const first = placingHub(now)) {
+        result.push_back(first);
+        for (const auto &vm : m_hubs) {
+            const auto *const hub = m_members.find(vm);
+            if (!m_isHub && hub != first && hub->isLiveHub(now)) {
+                result.push_back(hub);
+            }
+        }
+    }
+    return result;
+}
+
+// Returns the number of VMs of this data centre whose heartbeats arrive here.
+std::size_t fleet_view::countDirect(time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(m_members.peers().begin(), m_members.peers().end(), [&](const auto &vmAndPeer) {
         const auto &peer = vmAndPeer.second;
-        return peer.heartbeatAt && !peer.leaving && now - *peer.heartbeatAt < silence && peer.info.dataCentre == m_members.self().dataCentre;
+        return peer.heartbeatAt && !peer.leaving && now - *peer.heartbeatAt < vmSilenceTimeout && peer.info.dataCentre == m_members.self().dataCentre;
+    }));
+}
+
+// Returns the number of other VMs of a data centre that may be running, as far as this VM knows them.
+std::size_t fleet_view::countKnown(const data_centre_name &dataCentre, time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_members.peers().begin(), m_members.peers().end(), [&](const auto &vmAndPeer) {
+        return vmAndPeer.second.info.dataCentre == dataCentre && vmAndPeer.second.mayRun(now);
     }));
 }
 
@@ -355,7 +406,6 @@
     summary->usage = report.usage;
     summary->changingRole = report.changingRole;
     if (scope == summary_scope::Brief) {
-        addUsage(summary->usage, m_fleetUsage);
         return summary;
     }
     if (withLoads) {
@@ -368,25 +418,27 @@
     }
     if (scope == summary_scope::DataCentre) {
         addUsage(summary->usage, m_dataCentreUsage);
-        summary->heardVms = static_cast<std::int32_t>(1 + countDirect(vmSilenceTimeout, now));
-        summary->memberVms = static_cast<std::int32_t>(1 + countDirect(vmExpiryTimeout, now));
+        summary->heardVms = static_cast<std::int32_t>(1 + countDirect(now));
+        summary->memberVms = static_cast<std::int32_t>(1 + countKnown(m_members.self().dataCentre, now));
         return summary;
     }
     if (withLoads) {
         m_remote.addTo(summary->loads, summary->waiting);
     }
-    addUsage(summary->usage, m_fleetUsage);
     for (const auto &[dataCentre, source] : m_remoteSources) {
         summary->changingRole.insert(summary->changingRole.end(), source.changingRole.begin(), source.changingRole.end());
     }
-    summary->heardVms = static_cast<std::int32_t>(heard(now));
-    summary->memberVms = static_cast<std::int32_t>(members(now));
+    const auto share = limitShare(now);
+    summary->heardVms = static_cast<std::int32_t>(share.heardVms);
+    summary->memberVms = static_cast<std::int32_t>(share.memberVms);
     return summary;
 }
 
 void fleet_view::send(const std::shared_ptr<const fleet_summary> &summary, const fleet_peer &receiver, std::vector<relay_command> &out) const
 {
-    out.push_back(send_summary{receiver.info.address, summary, receiver.incarnation, receiver.heartbeatSequence});
+    // VMs of this data centre send heartbeats, and the hubs of the others send totals.
+    const bool isNear = receiver.info.dataCentre == m_members.self().dataCentre;
+    out.push_back(send_summary{receiver.info.address, summary, receiver.incarnation, isNear ? receiver.heartbeatSequence : receiver.summarySequence});
 }
 
 void fleet_view::sendSummaries(const own_report &report, time_point now, std::vector<relay_command> &out)
@@ -437,6 +489,10 @@
             hubs.push_back(vm);
         }
     }
+    m_sentTotals.push_back({m_summarySequence, now});
+    if (m_sentTotals.size() > maxSentTotals) {
+        m_sentTotals.pop_front();
+    }
     const auto totals = hubs.empty() ? nullptr : makeSummary(report, summary_scope::DataCentre, true, now);
     const bool toAll = m_totalsSent++ % (fleetMessageInterval / placingHubInterval) == 0 || !m_placingHub.empty();
     for (const auto &vm : hubs) {
@@ -453,28 +509,43 @@
 std::size_t fleet_view::heard(time_point now) const
 {
     const auto &ownDataCentre = m_members.self().dataCentre;
-    std::size_t count = countsDirect() ? 1 + countDirect(vmSilenceTimeout, now) : 1;
+    std::size_t count = countsDirect() ? 1 + countDirect(now) : 1;
     for (const auto &[dataCentre, source] : m_remoteSources) {
-        if (now - source.receivedAt < vmSilenceTimeout) {
+        if (now - source.receivedAt < totalsTimeout && (source.hearsThisVm || dataCentre == ownDataCentre)) {
             count = dataCentre == ownDataCentre ? static_cast<std::size_t>(std::max(source.heardVms, 1)) : count + static_cast<std::size_t>(source.heardVms);
         }
     }
     return count;
 }
 
-// A silent VM that announced that it leaves has ended and does not count.
+// A VM that follows a hub takes over the number of the hub. The others count the VMs that they know, and those of other data centres that the
+// hubs there have reported.
 std::size_t fleet_view::members(time_point now) const
 {
     const auto &ownDataCentre = m_members.self().dataCentre;
-    std::size_t count = countsDirect() ? 1 + countDirect(vmExpiryTimeout, now) : 1;
-    for (const auto &[dataCentre, source] : m_remoteSources) {
-        if (now - source.receivedAt < vmExpiryTimeout) {
-            count = dataCentre == ownDataCentre ? static_cast<std::size_t>(std::max(source.memberVms, 1)) : count + static_cast<std::size_t>(source.memberVms);
-        }
+    const auto own = m_remoteSources.find(ownDataCentre);
+    if (own != m_remoteSources.end() && now - own->second.receivedAt < vmExpiryTimeout) {
+        return static_cast<std::size_t>(std::max(own->second.memberVms, 1));
+    }
+    std::size_t count = 1;
+    for (const auto &dataCentre : m_members.dataCentres()) {
+        const auto source = m_remoteSources.find(dataCentre);
+        const bool reported = source != m_remoteSources.end() && now - source->second.receivedAt < vmExpiryTimeout;
+        count += reported ? static_cast<std::size_t>(std::max(source->second.memberVms, 0)) : countKnown(dataCentre, now);
     }
     return count;
 }
 
+limit_share fleet_view::limitShare(time_point now) const
+{
+    if (!m_knowsFleet) {
+        return {.heardVms = 0, .memberVms = 1};
+    }
+    // A hub that does not hear this VM cannot tell the others what this VM admits.
+    const bool isAlone = !countsDirect() && !m_heardByHub;
+    return {.heardVms = isAlone ? 1 : heard(now), .memberVms = members(now)};
+}
+
 bool fleet_view::hasHub(time_point now) const
 {
     return m_isHub || placingHub(now) != nullptr;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "fleet_limiter.hpp"
 #include "fleet_members.hpp"
 #include "fleet_totals.hpp"
 #include "plantainpoint/clock.hpp"
@@ -57,6 +58,8 @@
         bool fresh = false; // The message is neither a duplicate nor older than one that was received before.
         bool fromNewVm = false; // The sender is new or has restarted.
         std::vector<account_usage> admitted; // Units that other VMs have admitted, to be debited.
+        // Admissions of this VM that the levels of the message include. It is set if the sender is the followed hub and hears this VM.
+        std::optional<std::vector<account_usage>> ownIncluded;
     };
     message_arrival on(const fleet_heartbeat &heartbeatMessage, time_point now);
     message_arrival on(const fleet_summary &summary, time_point now);
@@ -68,14 +71,20 @@
 
     // Counts work that this VM as a hub has placed for another VM, until a later heartbeat of that VM contains it.
     void onGrant(const place_key &key, const std::vector<endpoint_load> &loads);
+    // Counts units that this VM as a hub has debited for another VM, until a later heartbeat of that VM contains them.
+    void onReservation(const place_key &key, const account_name &account, double units);
     // Returns the hub that places the requests of this data centre, or null if this VM places its own.
     const fleet_peer *placingHub(time_point now) const;
+    // Returns the hubs that this VM may ask for a place: the one that places, and the one that takes over when it does not answer.
+    std::vector<const fleet_peer *> placingHubs(time_point now) const;
     std::uint64_t lastHeartbeat() const { return m_heartbeatSequence; }
 
     // Returns the number of VMs whose admissions reach this VM, including this one.
     std::size_t heard(time_point now) const;
     // Returns the number of VMs that may be running, including this one.
     std::size_t members(time_point now) const;
+    // Returns the part of the limits that this VM grants.
+    limit_share limitShare(time_point now) const;
     // Returns whether this VM comes before all VMs that it hears. It reads the directory and orders role changes for the fleet.
     bool leads(time_point now) const { return m_members.leads(now); }
     bool isHub() const { return m_isHub; }
@@ -93,6 +102,7 @@
     struct remote_source {
         vm_name hub;
         bool settled = false;
+        bool hearsThisVm = false; // The hub acknowledges the totals of this VM.
         time_point receivedAt{};
         std::int32_t heardVms = 0;
         std::int32_t memberVms = 0;
@@ -107,10 +117,21 @@
     };
     struct sent_heartbeat {
         std::uint64_t sequence = 0;
+        time_point sentAt{};
         std::shared_ptr<const fleet_heartbeat> content;
     };
+    struct sent_totals {
+        std::uint64_t sequence = 0;
+        time_point sentAt{};
+    };
+    // Units debited for another VM.
+    struct reservation {
+        std::uint64_t heartbeat = 0; // The VM's last heartbeat that cannot contain the units.
+        account_usage usage;
+    };
     struct direct_source {
         std::deque<place_key> grants;
+        std::deque<reservation> reservations;
         usage_tracker usage;
         std::vector<endpoint_name> changingRole;
         vm_name follows;
@@ -120,18 +141,21 @@
     bool countsDirect() const { return m_isHub || m_follows.empty(); }
     bool replaceSource(const fleet_summary &summary, time_point now);
     void applyTotals(const fleet_summary &summary, const sent_heartbeat *own, time_point now);
-    std::vector<account_usage> applyUsage(const fleet_summary &summary, const sent_heartbeat *own, bool isSource, time_point now);
+    std::vector<account_usage> applyUsage(const fleet_summary &summary, bool isSource, time_point now);
     const sent_heartbeat *findSent(const fleet_summary &summary) const;
+    template<class Sent>
+    static bool isUnheard(const std::deque<Sent> &sent, std::uint64_t acknowledged, time_point now);
+    std::size_t countKnown(const data_centre_name &dataCentre, time_point now) const;
     void setRole(const hub_selection &selection, time_point now);
     void expireSources(time_point now);
     void removeGrants(const vm_name &vm, direct_source &source, std::uint64_t heartbeat);
-    std::shared_ptr<const fleet_heartbeat> makeHeartbeat(const own_report &report);
+    std::shared_ptr<const fleet_heartbeat> makeHeartbeat(const own_report &report, time_point now);
     void sendHeartbeats(const own_report &report, const hub_selection &selection, time_point now, std::vector<relay_command> &out);
     void sendSummaries(const own_report &report, time_point now, std::vector<relay_command> &out);
     void sendTotals(const own_report &report, time_point now, std::vector<relay_command> &out);
     void send(const std::shared_ptr<const fleet_summary> &summary, const fleet_peer &receiver, std::vector<relay_command> &out) const;
     std::shared_ptr<fleet_summary> makeSummary(const own_report &report, summary_scope scope, bool withLoads, time_point now) const;
-    std::size_t countDirect(duration silence, time_point now) const;
+    std::size_t countDirect(time_point now) const;
 
     std::uint64_t m_incarnation;
     fleet_members m_members;
@@ -142,13 +166,14 @@
     std::map<vm_name, usage_source> m_usageSources; // By hub.
     std::map<vm_name, time_point> m_peerHubs; // Hubs of other data centres that sent totals, with the time of the last ones.
     std::deque<sent_heartbeat> m_sentHeartbeats;
+    std::deque<sent_totals> m_sentTotals;
     time_point m_lastHeartbeatAt{};
     std::vector<vm_name> m_lastReceivers;
     std::uint64_t m_heartbeatSequence = 0;
     std::uint64_t m_summarySequence = 0;
     std::vector<account_usage> m_dataCentreUsage; // Admissions reported by heartbeats since the start.
-    std::vector<account_usage> m_fleetUsage; // Admissions reported by heartbeats and by other data centres since the start.
     vm_name m_follows;
+    std::vector<vm_name> m_hubs; // Other hubs of this data centre.
     vm_name m_placingHub;
     time_point m_nextHeartbeat{};
     time_point m_nextTotals{};
@@ -156,6 +181,8 @@
     int m_summariesSent = 0;
     bool m_isHub = false;
     bool m_leaving = false;
+    bool m_knowsFleet = false; // Another VM was heard, or the directory has listed the VMs.
+    bool m_heardByHub = false; // The followed hub acknowledges the heartbeats of this VM.
     std::optional<time_point> m_hubSince;
     time_point m_nextNotice{};
 };
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace plantainpoint {
 
@@ -48,11 +49,23 @@
              .directPrefillLimit = settings.directPrefillLimit}
     , fleet({settings.self.vm, settings.peerAddress, settings.dataCentre, settings.capacity}, settings.self.number)
     , limiter(settings.limitTolerance)
-    , placement(endpoints, fleet, speeds, settings.dataCentre)
     , planner(settings.self.vm, {settings.prefillShare, settings.orderLease})
+    , placement(endpoints, fleet, speeds, settings.dataCentre)
 {
 }
 
+void relay_components::setLimitShare(const limit_share &share)
+{
+    if (share == limiter.share()) {
+        return;
+    }
+    limiter.setShare(share, clock.now());
+    logMessage(severity::Info,
+               log_component::Member,
+               "limits share=" + std::to_string(share.heardVms) + '/' + std::to_string(share.memberVms)
+                   + " follows=" + (fleet.followed().empty() ? std::string("-") : fleet.followed().value));
+}
+
 relay_requests::relay_requests(relay_components &components)
     : m_components(components)
 {
@@ -100,6 +113,36 @@
     return false;
 }
 
+// Checks the limit of a request that no hub has checked although this VM follows one. Nobody can tell it what the others admit, so it grants its
+// own share only.
+bool relay_requests::admitAlone(relay_entry &entry)
+{
+    if (entry.account == nullptr || std::exchange(entry.limitChecked, true) || m_components.fleet.followed().empty() || m_components.shuttingDown) {
+        return true;
+    }
+    const auto now = m_components.clock.now();
+    m_components.limiter.refund(entry.account->name, entry.units);
+    m_components.setLimitShare({.heardVms = 1, .memberVms = m_components.fleet.members(now)});
+    const auto wait = m_components.limiter.admit(entry.account->name, entry.units, now);
+    if (!wait) {
+        return true;
+    }
+    entry.units = 0;
+    refuseOverLimit(entry, *wait, "no hub answers, and the share of this VM is used up");
+    return false;
+}
+
+// Refuses a request that has an entry. Its units go back to the account.
+void relay_requests::refuseOverLimit(relay_entry &entry, duration wait, std::string_view detail)
+{
+    m_components.limiter.refund(entry.account->name, entry.units);
+    ++m_components.metrics.failures[failure::RateExceeded];
+    const auto text = "account " + entry.account->name.value + " is over its limit: " + std::string(detail);
+    m_components.commands.push_back(
+        answer_failure{entry.request.caller, {}, failure::RateExceeded, outcome::NotRun, text, addJitter(wait, entry.request.payload->id)});
+    finish(entry, std::string(nameOf(failure::RateExceeded)) + " detail=\"" + text + '"', entryOf(failure::RateExceeded).httpStatus);
+}
+
 void relay_requests::on(relay_request request)
 {
     ++m_components.metrics.received;
@@ -225,6 +268,9 @@
     if (askHub(entry)) {
         return;
     }
+    if (!admitAlone(entry)) {
+        return;
+    }
     if (place(entry)) {
         scheduleWakeup(entry);
     } else {
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -12,7 +12,7 @@
 // A hub answers within a millisecond unless it is lost or out of processor time. The request is then placed here.
 constexpr duration askTimeout = milliseconds{40};
 constexpr duration queuedAskCheck = milliseconds{300}; // Pause between two checks that the hub of a queued request is alive.
-constexpr duration hubDoubtTime = milliseconds{300}; // Requests are placed here for this time after an ask without an answer.
+constexpr duration hubDoubtTime = milliseconds{300}; // A hub is not asked for this time after an ask without an answer.
 
 } // namespace
 
@@ -25,10 +25,12 @@
 bool relay_requests::askHub(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    const auto *const hub = m_components.fleet.placingHub(now);
-    if (hub == nullptr || now < m_hubDoubtedUntil || m_components.shuttingDown) {
+    const auto hubs = m_components.fleet.placingHubs(now);
+    const auto trusted = std::find_if(hubs.begin(), hubs.end(), [&](const auto *each) { return now >= m_doubtedHubs[each->info.vm]; });
+    if (trusted == hubs.end() || m_components.shuttingDown) {
         return false;
     }
+    const auto *const hub = *trusted;
     const auto request = placementRequestOf(entry);
     placement_ask ask{.from = m_components.settings.self,
                       .address = m_components.settings.peerAddress,
@@ -45,8 +47,12 @@
                       .holdTime = request.holdTime,
                       .excluded = m_components.endpoints.notAccepting(request.service, now),
                       .seed = request.seed};
+    if (entry.account != nullptr && !entry.limitChecked) {
+        ask.account = entry.account->name;
+        ask.units = entry.units;
+    }
     ask.excluded.insert(ask.excluded.end(), request.excluded.begin(), request.excluded.end());
-    entry.ask = open_ask{ask.number, hub->info.address, now, false};
+    entry.ask = open_ask{ask.number, hub->info.vm, hub->info.address, now, false};
     m_asks.emplace(ask.number, entry.request.caller);
     ++m_components.metrics.asks;
     m_components.commands.push_back(send_ask{hub->info.address, std::move(ask)});
@@ -67,19 +73,20 @@
     entry.ask.reset();
 }
 
-// Places a request here whose hub does not answer, or lets it wait on at a hub that is alive.
+// Asks another hub for a request whose hub does not answer or places it here, or lets it wait on at a hub that is alive.
 void relay_requests::onAskOverdue(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    const auto *const hub = m_components.fleet.placingHub(now);
-    if (entry.ask->queued && hub != nullptr && hub->info.address == entry.ask->hubAddress) {
+    const auto hubs = m_components.fleet.placingHubs(now);
+    const bool isAlive = std::any_of(hubs.begin(), hubs.end(), [&](const auto *hub) { return hub->info.vm == entry.ask->hub; });
+    if (entry.ask->queued && isAlive) {
         entry.ask->sentAt = now;
         scheduleWakeup(entry);
         return;
     }
     if (!entry.ask->queued) {
         ++m_components.metrics.asksUnanswered;
-        m_hubDoubtedUntil = now + hubDoubtTime;
+        m_doubtedHubs[entry.ask->hub] = now + hubDoubtTime;
     }
     withdrawAsk(entry);
     placeOrWait(entry);
@@ -93,6 +100,13 @@
     }
     auto &entry = *m_entries.at(found->second);
     const auto now = m_components.clock.now();
+    if (grant.result == placement_result::LimitReached) {
+        m_asks.erase(found);
+        entry.ask.reset();
+        refuseOverLimit(entry, grant.expectedWait, "the hub " + grant.from.vm.value + " has no units left");
+        return;
+    }
+    entry.limitChecked = true;
     if (grant.result == placement_result::Queued) {
         entry.ask->queued = true;
         entry.ask->sentAt = now;
@@ -149,6 +163,13 @@
     }
     request.engine = service->engine;
     ++m_components.metrics.asksAnswered;
+    if (!ask.account.empty()) {
+        if (const auto wait = m_components.limiter.reserve(ask.account, ask.units, now)) {
+            answerAsk(request.owner, {.result = placement_result::LimitReached, .expectedWait = *wait});
+            return;
+        }
+        m_components.fleet.onReservation({request.owner.vm, request.owner.number, request.owner.heartbeat}, ask.account, ask.units);
+    }
     if (const auto placement = m_components.placement.choose(request, now)) {
         grant(request, *placement);
         return;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr duration maxTickInterval = std::chrono::milliseconds{500};
+constexpr duration suspensionTime = std::chrono::seconds{1}; // A VM without a tick for this time was suspended.
 constexpr duration fetchInterval = std::chrono::milliseconds{300}; // Pause between two transfers of state from other VMs.
-constexpr duration levelAdoptionTime = std::chrono::milliseconds{1500}; // A VM that has started hears a hub within this time.
 constexpr duration reportInterval = std::chrono::milliseconds{4}; // Changes of work within this time share a heartbeat.
 constexpr duration membersReadInterval = std::chrono::seconds{3}; // Longer than the search for a hub among the known VMs.
 // Changes are repeated for this time, so that a lost summary delays them only.
@@ -30,14 +30,6 @@
 
 } // namespace
 
-// The part of every limit that this VM grants: the VMs whose admissions it knows, of those that may be running.
-struct limit_share {
-    std::size_t heardVms = 1;
-    std::size_t memberVms = 1;
-
-    bool operator==(const limit_share &) const = default;
-};
-
 struct relay_core::state {
     state(relay_settings settings, const clock_source &clock)
         : components(std::move(settings), clock)
@@ -69,12 +61,12 @@
 
     template<class Message>
     void onMessage(const fleet_view::message_arrival &arrival, const Message &message);
+    void onLevels(const fleet_view::message_arrival &arrival, const fleet_summary &summary);
     void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
     void onSummaryOfDirectory(const fleet_summary &summary);
     own_report report(time_point now);
     void reportChangedWork(time_point now);
     void exchangeFleetMessages(time_point now);
-    void updateLimitShare(time_point now);
     void readDirectory(time_point now);
     directory_role directoryRole(time_point now) const;
     void planRoles(time_point now);
@@ -83,7 +75,6 @@
     relay_components components;
     relay_requests requests;
     directory_follower follower;
-    std::optional<time_point> configuredAt; // Time of the first configuration.
     directory_state directoryState;
     time_point lastChangeAt{}; // Time at which this VM learned of the newest change of an endpoint.
     std::uint64_t lastChange = 0; // The position after that change.
@@ -91,7 +82,7 @@
     time_point nextExchange{};
     std::uint64_t reportedWork = 0; // Version of the work that the last heartbeat reported.
     time_point lastReportAt{};
-    limit_share lastLimitShare;
+    time_point lastTickAt = time_point::max();
     time_point nextFetch{};
     time_point nextMembersRead{};
     std::optional<time_point> shutdownAt;
@@ -104,7 +95,6 @@
     if (components.routes && read.config->version <= components.routes->version()) {
         return;
     }
-    configuredAt = configuredAt.value_or(components.clock.now());
     const auto previousVersion = components.routes ? components.routes->version() : 0;
     components.routes = std::make_shared<route_table>(read.config);
     components.limiter.setAccounts(read.config->accounts, components.clock.now());
@@ -155,9 +145,6 @@
     const auto now = components.clock.now();
     ++components.metrics.heartbeatsReceived;
     components.limiter.debit(arrival.admitted, now);
-    if (configuredAt && now - *configuredAt < levelAdoptionTime) {
-        components.limiter.adoptLevels(message.usage, now);
-    }
     if (arrival.fromNewVm) {
         components.logMessage(severity::Info, log_component::Member, "vm=" + message.from.vm.value + " heard address=" + message.address);
     }
@@ -186,12 +173,25 @@
         return;
     }
     onMessage(arrival, summary);
+    onLevels(arrival, summary);
     components.endpoints.onRoleChange(summary.changingRole, components.clock.now());
     components.endpoints.onReannouncing(summary.knowledge.reannounceLeft, components.clock.now());
     onSummaryOfDirectory(summary);
     onKnowledge(summary.knowledge, summary.address);
 }
 
+// Takes over the levels of the limits from the followed hub. A VM that has no levels yet takes those of any hub that has been one for a while.
+void relay_core::state::onLevels(const fleet_view::message_arrival &arrival, const fleet_summary &summary)
+{
+    const auto now = components.clock.now();
+    if (arrival.ownIncluded) {
+        components.limiter.copyLevels(summary.usage, *arrival.ownIncluded, now);
+        components.setLimitShare(components.fleet.limitShare(now));
+    } else if (summary.settled && summary.hasUsage()) {
+        components.limiter.learnLevels(summary.usage, now);
+    }
+}
+
 // Applies changes of endpoints that came with the summary if no earlier change is missing here.
 void relay_core::state::onSummaryOfDirectory(const fleet_summary &summary)
 {
@@ -281,24 +281,14 @@
     }
     nextExchange = now + (components.fleet.isHub() ? placingHubInterval : fleetMessageInterval);
     reportedWork = requests.workVersion();
-    updateLimitShare(now);
+    const bool wasHub = components.fleet.isHub();
     const auto before = components.commands.size();
     components.fleet.exchange(report(now), now, components.commands);
-    components.metrics.heartbeatsSent += components.commands.size() - before;
-}
-
-// Tells the limiter of the part of the fleet whose admissions this VM knows.
-void relay_core::state::updateLimitShare(time_point now)
-{
-    const limit_share share{components.fleet.heard(now), components.fleet.members(now)};
-    components.limiter.setVisibility(share.heardVms, share.memberVms);
-    if (share != lastLimitShare) {
-        lastLimitShare = share;
-        components.logMessage(severity::Info,
-                              log_component::Member,
-                              "limits share=" + std::to_string(share.heardVms) + '/' + std::to_string(share.memberVms)
-                                  + " follows=" + (components.fleet.followed().empty() ? std::string("-") : components.fleet.followed().value));
+    if (components.fleet.isHub() && !wasHub) {
+        components.limiter.forgetLevels();
     }
+    components.setLimitShare(components.fleet.limitShare(now));
+    components.metrics.heartbeatsSent += components.commands.size() - before;
 }
 
 // Tells the hub of changed work at once, as it places the requests of the other VMs by it.
@@ -373,6 +363,10 @@
 
 void relay_core::handle(relay_input message)
 {
+    // A VM that was suspended notices first which other VMs it has not heard since.
+    if (m_state->components.clock.now() - m_state->lastTickAt > suspensionTime) {
+        tick();
+    }
     std::visit([this](auto &&content) { m_state->on(std::forward<decltype(content)>(content)); }, std::move(message));
     // The message may have freed a slot or changed what is known of the endpoints.
     m_state->requests.placeWaiting();
@@ -382,6 +376,7 @@
 void relay_core::tick()
 {
     const auto now = m_state->components.clock.now();
+    m_state->lastTickAt = now;
     m_state->requests.tick(now);
     m_state->requests.placeWaiting();
     m_state->components.endpoints.tick(now);
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -32,6 +32,8 @@
     {
         commands.push_back(log_line{level, component, std::nullopt, std::move(text)});
     }
+    // Sets the part of the limits that this VM grants.
+    void setLimitShare(const limit_share &share);
 
     relay_settings settings;
     const clock_source &clock;
@@ -60,6 +62,7 @@
 // An ask for a place that the hub has not granted yet.
 struct open_ask {
     std::uint64_t number = 0;
+    vm_name hub;
     std::string hubAddress;
     time_point sentAt{};
     bool queued = false; // The hub has answered that a grant follows.
@@ -72,6 +75,7 @@
     const relay_account *account = nullptr; // It is null on an open route without a key.
     service_name service;
     double units = 0; // Units that were taken from the account's limit.
+    bool limitChecked = false; // By a VM that knows the admissions of the others.
     time_point arrivedAt{};
     time_point deadline{};
     relay_machine machine;
@@ -140,6 +144,8 @@
     // Admission.
     const relay_account *authorise(const relay_request &request, const relay_route &route);
     bool admit(relay_entry &entry);
+    bool admitAlone(relay_entry &entry);
+    void refuseOverLimit(relay_entry &entry, duration wait, std::string_view detail);
     void refuse(caller_id caller, const relay_payload &payload, failure reason, std::optional<duration> retryAfter, std::string_view detail);
 
     // Placement.
@@ -201,7 +207,7 @@
     std::unordered_map<attempt_number, caller_id> m_attempts;
     std::unordered_map<std::uint64_t, caller_id> m_asks; // Asks that the hub has not granted.
     std::uint64_t m_lastAsk = 0;
-    time_point m_hubDoubtedUntil{}; // The hub left an ask without an answer. This VM places by itself until then.
+    std::map<vm_name, time_point> m_doubtedHubs; // Hubs that left an ask without an answer. They are not asked until then.
     std::uint64_t m_workVersion = 0;
     std::map<service_name, retry_budget> m_budgets;
     std::set<std::pair<time_point, caller_id>> m_wakeups;
--- a/test/fleet_limiter_test.cpp
+++ b/test/fleet_limiter_test.cpp
@@ -18,8 +18,16 @@
     limiter_fixture()
     {
         for (auto *each : {&limiterA, &limiterB}) {
-            each->setAccounts({accountWith(100, 100)}, now);
+            fill(*each);
         }
+        now += std::chrono::seconds{1};
+    }
+
+    // Sets a limit and a share so that the bucket is full a second later.
+    void fill(fleet_limiter &limiter) const
+    {
+        limiter.setAccounts({accountWith(100, 100)}, now);
+        limiter.setShare({.heardVms = 2, .memberVms = 2}, now);
     }
 
     int admitUntilRefused(fleet_limiter &limiter, double units)
@@ -76,8 +84,8 @@
 {
     admitUntilRefused(limiterA, 10);
     exchangeHeartbeats();
-    limiterA.setVisibility(1, 2);
-    limiterB.setVisibility(1, 2);
+    limiterA.setShare({.heardVms = 1, .memberVms = 2}, now);
+    limiterB.setShare({.heardVms = 1, .memberVms = 2}, now);
     now += milliseconds{1000};
     BOOST_TEST(admitUntilRefused(limiterA, 10) + admitUntilRefused(limiterB, 10) == 10);
 }
@@ -88,7 +96,7 @@
     admitUntilRefused(limiterA, 10);
     exchangeHeartbeats();
     fleet_limiter restarted;
-    restarted.setAccounts({accountWith(100, 100)}, now);
+    fill(restarted);
     now += milliseconds{1000};
     restarted.admit({"acme"}, 10, now);
     limiterB.debit(trackerOfA.onReport({{"vm-a"}, 2}, restarted.usage(), false), now);
@@ -126,8 +134,8 @@
 BOOST_AUTO_TEST_CASE(toleranceAddsToTheBurstOnly)
 {
     fleet_limiter tolerant(50);
-    tolerant.setAccounts({accountWith(100, 100)}, now);
-    now += milliseconds{500};
+    fill(tolerant);
+    now += milliseconds{2000};
     BOOST_TEST(admitUntilRefused(tolerant, 10) == 15);
     now += milliseconds{1000};
     BOOST_TEST(admitUntilRefused(tolerant, 10) == 10);
@@ -135,11 +143,56 @@
 
 // Guards against an account that gets its burst and the tolerance once more when all VMs have restarted (hunt: kohid-lab trouble-3, seed
 // 743178218200, a tenant at 4.7 times its rate when all processes are killed).
-BOOST_AUTO_TEST_CASE(restartedVmsDoNotGrantTheToleranceAgain)
+BOOST_AUTO_TEST_CASE(restartedVmsGrantNeitherBurstNorToleranceAgain)
 {
     fleet_limiter restarted(50);
-    restarted.setAccounts({accountWith(100, 100)}, now);
-    BOOST_TEST(admitUntilRefused(restarted, 10) == 10);
+    fill(restarted);
+    BOOST_TEST(admitUntilRefused(restarted, 10) == 0);
+    BOOST_TEST(admitUntilRefused(restarted, 1) == 3); // A fiftieth of the bucket is left for small requests.
+    now += milliseconds{500};
+    BOOST_TEST(admitUntilRefused(restarted, 10) == 5);
+}
+
+// Guards against a VM that has just started, knows no other VM and grants the whole rate.
+BOOST_AUTO_TEST_CASE(vmsThatKnowNoOtherVmGrantNothing)
+{
+    fleet_limiter started;
+    started.setAccounts({accountWith(100, 100)}, now);
+    now += milliseconds{1000};
+    BOOST_TEST(admitUntilRefused(started, 10) == 0);
+    const auto wait = started.admit({"acme"}, 10, now);
+    BOOST_TEST((wait && *wait <= milliseconds{500})); // It is not known how many VMs share the limit, but it will be soon.
+    started.setShare({.heardVms = 1, .memberVms = 4}, now);
+    now += milliseconds{1000};
+    BOOST_TEST(admitUntilRefused(started, 10) == 2);
+}
+
+// Guards against VMs that are cut off from the others and each keep the level that they had together.
+BOOST_AUTO_TEST_CASE(theLevelIsSharedWhenOthersAreNoLongerHeard)
+{
+    limiterA.setShare({.heardVms = 1, .memberVms = 4}, now);
+    BOOST_TEST(admitUntilRefused(limiterA, 10) == 2);
+    // Hearing the others again grants nothing by itself.
+    limiterA.setShare({.heardVms = 4, .memberVms = 4}, now);
+    BOOST_TEST(admitUntilRefused(limiterA, 10) == 0);
+}
+
+// Guards against an account that was added by a new configuration and has to wait for its first units.
+BOOST_AUTO_TEST_CASE(addedAccountsHaveTheirBurstAtOnce)
+{
+    limiterA.setAccounts({accountWith(100, 100), {.name = {"new"}, .rate = 100, .burst = 50}}, now);
+    BOOST_TEST(!limiterA.admit({"new"}, 50, now).has_value());
+}
+
+// Guards against units that a hub debits for another VM and that are debited again when the VM reports them.
+BOOST_AUTO_TEST_CASE(reservedUnitsAreNotReportedAsOwn)
+{
+    BOOST_TEST(!limiterA.reserve({"acme"}, 60, now).has_value());
+    BOOST_TEST(limiterA.usage()[0].admitted == 0);
+    BOOST_TEST(admitUntilRefused(limiterA, 10) == 4);
+    const auto wait = limiterA.reserve({"acme"}, 10, now);
+    BOOST_REQUIRE(wait.has_value());
+    BOOST_TEST((*wait >= milliseconds{99} && *wait <= milliseconds{101}));
 }
 
 // Guards against a request larger than the burst that is never admitted.
@@ -157,16 +210,30 @@
 {
     BOOST_TEST(admitUntilRefused(limiterA, 10) == 10);
     fleet_limiter started;
-    started.setAccounts({accountWith(100, 100)}, now);
-    started.adoptLevels(limiterA.usage(), now);
+    fill(started);
+    started.learnLevels(limiterA.usage(), now);
     BOOST_TEST(admitUntilRefused(started, 10) == 0);
     now += milliseconds{500};
     BOOST_TEST(admitUntilRefused(started, 10) == 5);
-    // A full bucket elsewhere raises no level.
-    fleet_limiter full;
-    full.setAccounts({accountWith(100, 100)}, now);
-    started.adoptLevels(full.usage(), now);
+    // Another hub raises no level of a VM that has its own.
+    started.learnLevels({}, now);
     BOOST_TEST(admitUntilRefused(started, 10) == 0);
+    // A VM without levels of its own takes over those of the hub: an account that is not listed has used nothing.
+    started.forgetLevels();
+    started.learnLevels({}, now);
+    BOOST_TEST(admitUntilRefused(started, 10) == 10);
+}
+
+// Guards against a VM that copies the level of its hub and forgets what it has admitted since its last report.
+BOOST_AUTO_TEST_CASE(copiedLevelsIncludeUnreportedAdmissions)
+{
+    BOOST_TEST(!limiterB.admit({"acme"}, 20, now).has_value());
+    const auto reported = limiterB.usage();
+    BOOST_TEST(!limiterB.admit({"acme"}, 30, now).has_value());
+    limiterB.copyLevels({{.account = {"acme"}, .level = 70}}, reported, now);
+    BOOST_TEST(admitUntilRefused(limiterB, 10) == 4);
+    limiterB.copyLevels({}, limiterB.usage(), now);
+    BOOST_TEST(admitUntilRefused(limiterB, 10) == 10);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "plantainpoint/relay_core.hpp"
@@ -57,9 +58,18 @@
         : core({.self = {{"vm-1"}, 1}, .dataCentre = {"dc-a"}, .peerAddress = "127.0.0.1:7000", .directPrefillLimit = {}}, clock)
     {
         clock.advance(std::chrono::hours{1});
+        core.handle(members_read{});
+        core.tick();
+        core.take();
     }
 
-    void configure(const relay_config &config) { core.handle(configuration_read{std::make_shared<const relay_config>(config)}); }
+    void configure(const relay_config &config)
+    {
+        core.handle(configuration_read{std::make_shared<const relay_config>(config)});
+        if (!std::exchange(configured, true)) {
+            clock.advance(std::chrono::seconds{1}); // The limits of the accounts fill in this time.
+        }
+    }
     void announce(std::vector<relay_endpoint> endpoints, bool whole = true)
     {
         directory_read read{.whole = whole, .position = ++position};
@@ -170,6 +180,7 @@
     }
 
     manual_clock clock;
+    bool configured = false;
     relay_core core;
     std::uint64_t position = 0;
     caller_id lastCaller = 0;
