Log the parts of the prompt of a lost attempt

No line told what requests that were lost with an endpoint have in common, so that a prompt that crashes endpoints, repeats of this system and endpoints that end by themselves looked the same. The adapter decodes the parts of a prompt that other prompts may share, and the line of a lost attempt names them, with the time since the dispatch and whether a first event had come. No decision uses them yet. Test: sharedPartsOfAPromptAreDecoded.

--- a/include/plantainpoint/ids.hpp
+++ b/include/plantainpoint/ids.hpp
@@ -29,6 +29,7 @@
 using service_name = entity_name<struct service_tag>;
 using endpoint_name = entity_name<struct endpoint_tag>;
 using model_name = entity_name<struct model_tag>;
+using prompt_part = entity_name<struct prompt_part_tag>; // Part of a prompt, named by a hash of its content.
 
 // One run of the entry program on a VM. A larger number is a later run.
 struct incarnation_id {
--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -45,6 +45,7 @@
     std::optional<key_digest> key;
     duration timeToDeadline{}; // The caller waits for this time.
     std::optional<token_count> tokens; // Only model requests have a token count.
+    std::vector<prompt_part> parts; // Parts of the prompt that other prompts may share. The last part belongs to the request and is left out.
     std::optional<std::uint64_t> resumeAfter; // Last event that the caller has.
 };
 
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -19,6 +19,15 @@
     return tokens ? std::to_string(tokens->prompt) + '+' + std::to_string(tokens->output) : std::string("-");
 }
 
+std::string partsText(const relay_entry &entry)
+{
+    std::string text;
+    for (const auto &part : entry.request.parts) {
+        text += (text.empty() ? "" : ",") + part.value;
+    }
+    return text.empty() ? "-" : text;
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -175,7 +184,8 @@
     m_components.logMessage(severity::Info,
                             log_component::Place,
                             "request=" + entry.request.payload->id + " attempt lost endpoint=" + name.value + " end=" + std::string(nameOf(replyOutcome))
-                                + " runs=" + std::to_string(entry.runs));
+                                + " runs=" + std::to_string(entry.runs) + " first_event=" + (entry.firstEventAt ? "yes" : "no")
+                                + " after_ms=" + millisText(m_components.clock.now() - entry.attempt->sentAt) + " parts=" + partsText(entry));
     entry.triedEndpoints.insert(name);
     closeAttempt(entry);
     if (entry.canRepeat() && entry.runs < entry.route->attempts && spendRetry(entry) && retryElsewhere(entry)) {
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -188,6 +188,32 @@
 
 BOOST_AUTO_TEST_SUITE(platform_headers)
 
+// Guards against parts of a prompt that are mistaken for one another, and against a last part, which no other prompt has, among those that
+// prompts share.
+BOOST_AUTO_TEST_CASE(sharedPartsOfAPromptAreDecoded)
+{
+    const auto partsOf = [](const std::vector<std::string> &values) {
+        auto caller = callerRequest();
+        for (const auto &value : values) {
+            caller.headers.push_back({"x-prefix-hash", value});
+        }
+        std::string text;
+        for (const auto &part : decodeRequest(caller).parts) {
+            text += part.value + ' ';
+        }
+        return text;
+    };
+    BOOST_TEST(partsOf({}).empty());
+    BOOST_TEST(partsOf({"5c1e07a2:800"}).empty());
+    BOOST_TEST(partsOf({"5c1e07a2:800,91BD3F06:410, e4402b7d:250"}) == "5c1e07a2 91bd3f06 ");
+    BOOST_TEST(partsOf({"5c1e07a2:800, 91bd3f06 :410", "e4402b7d:250"}) == "5c1e07a2 91bd3f06 ");
+    BOOST_TEST(partsOf({",:5,,x"}).empty());
+    // The header itself is passed on as it came.
+    auto caller = callerRequest();
+    caller.headers.push_back({"X-Prefix-Hash", "5C1E07A2:800,91bd3f06:410"});
+    BOOST_TEST(valueOf(worker_dialect{}.encode(dispatchOf(decodeRequest(caller))), "X-Prefix-Hash") == "5C1E07A2:800,91bd3f06:410");
+}
+
 // Guards against callers that forge headers which only the router may set.
 BOOST_AUTO_TEST_CASE(reservedHeadersOfACallerAreNotForwarded)
 {
