--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -146,6 +146,33 @@
         collect(index);
         return m_lastCaller;
     }
+    // Hands a model request to a VM. The endpoints see the parts of its prompt in the payload's body.
+    caller_id submitModel(std::size_t index, const std::string &target, const std::vector<std::string> &parts, duration timeToDeadline)
+    {
+        auto payload = std::make_shared<relay_payload>();
+        payload->id = "id-" + std::to_string(++m_lastCaller);
+        payload->host = "shop.example";
+        payload->method = "POST";
+        payload->target = target;
+        relay_request request{
+            .caller = m_lastCaller, .key = digestOf("k-acme"), .timeToDeadline = timeToDeadline, .tokens = token_count{500, 50, {}}, .parts = {}};
+        for (const auto &part : parts) {
+            request.parts.push_back({part});
+            payload->body += part + ' ';
+        }
+        request.payload = payload;
+        vms[index].core->handle(std::move(request));
+        collect(index);
+        return m_lastCaller;
+    }
+    // Hands a message to a VM whose process runs.
+    void deliver(std::size_t index, relay_input message)
+    {
+        if (vms[index].core) {
+            vms[index].core->handle(std::move(message));
+            collect(index);
+        }
+    }
     // Sends a plain request and returns the endpoint that it was sent to within the time in which a hub answers, or nothing.
     std::optional<std::string> request(std::size_t index, const std::string &target)
     {
