Log how the stream of an endpoint was framed and whether it ended inside an event

The lines 'result=' and 'attempt lost' now carry framing, events and unfinished_bytes of the open attempt. No decision changes.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -86,11 +86,25 @@
     std::string handle;
 };
 
+// How the end of an answer is marked.
+enum class answer_framing : std::uint8_t {
+    Length,
+    Chunks,
+    Close, // The answer ends with its connection.
+};
+
+constexpr std::string_view nameOf(answer_framing value)
+{
+    constexpr std::array names{std::string_view{"length"}, std::string_view{"chunks"}, std::string_view{"close"}};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 struct stream_head {
     attempt_number attempt = 0;
     int status = 200;
     std::vector<header> headers;
     std::optional<reported_load> load;
+    answer_framing framing = answer_framing::Chunks;
 };
 
 struct stream_part {
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -9,6 +9,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include <boost/beast/http/rfc7230.hpp>
+
 #include "http_client.hpp"
 #include "http_headers.hpp"
 #include "plantainpoint/relay.hpp"
@@ -98,7 +100,7 @@
         m_reply.load = traits.load;
         m_streaming = m_streamRequested && traits.genuine && status / 100 == 2;
         if (m_streaming) {
-            m_client.m_sink(stream_head{m_reply.attempt, status, std::move(m_reply.headers), traits.load});
+            m_client.m_sink(stream_head{m_reply.attempt, status, std::move(m_reply.headers), traits.load, framingOf(fields)});
         }
     }
 
@@ -128,6 +130,14 @@
     }
 
 private:
+    static answer_framing framingOf(const http_fields &fields)
+    {
+        if (boost::beast::http::token_list{fields[boost::beast::http::field::transfer_encoding]}.exists("chunked")) {
+            return answer_framing::Chunks;
+        }
+        return fields.find(boost::beast::http::field::content_length) != fields.end() ? answer_framing::Length : answer_framing::Close;
+    }
+
     static reply_outcome outcomeOf(transfer_end end, bool requestMaybeSent)
     {
         if (end == transfer_end::ConnectFailed || !requestMaybeSent) {
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -213,6 +213,7 @@
         return;
     }
     recordReportedLoad(entry->attempt->endpoint, head.load);
+    entry->attempt->framing = head.framing;
     entry->machine.apply(relay_event::streaming{});
     // A resumed stream keeps the head of its first endpoint.
     if (!entry->headSent) {
@@ -240,6 +241,7 @@
         }
     }
     const auto [events, bytes] = readEvents(*entry, part.bytes);
+    entry->attempt->events += events;
     if (entry->events.isOverlong()) {
         m_components.commands.push_back(relay_abort{part.attempt});
         onLost(*entry, reply_outcome::Broken);
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -28,6 +28,16 @@
     return text.empty() ? "-" : text;
 }
 
+// Returns how the stream of the open attempt ended, or nothing if no stream has begun.
+std::string streamText(const relay_entry &entry)
+{
+    if (!entry.attempt || !entry.attempt->framing) {
+        return {};
+    }
+    return " framing=" + std::string(nameOf(*entry.attempt->framing)) + " events=" + std::to_string(entry.attempt->events)
+           + " unfinished_bytes=" + std::to_string(entry.events.rest().size());
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -185,7 +195,8 @@
                             log_component::Place,
                             "request=" + entry.request.payload->id + " attempt lost endpoint=" + name.value + " end=" + std::string(nameOf(replyOutcome))
                                 + " runs=" + std::to_string(entry.runs) + " first_event=" + (entry.firstEventAt ? "yes" : "no")
-                                + " after_ms=" + millisText(m_components.clock.now() - entry.attempt->sentAt) + " parts=" + partsText(entry));
+                                + " after_ms=" + millisText(m_components.clock.now() - entry.attempt->sentAt) + streamText(entry)
+                                + " parts=" + partsText(entry));
     entry.triedEndpoints.insert(name);
     closeAttempt(entry);
     if (entry.canRepeat() && entry.runs < entry.route->attempts && spendRetry(entry) && retryElsewhere(entry)) {
@@ -324,6 +335,7 @@
     if (entry.firstEventAt) {
         text += " first_ms=" + millisText(*entry.firstEventAt - entry.arrivedAt) + " gap_ms=" + millisText(entry.longestGap);
     }
+    text += streamText(entry);
     if (entry.placedAt) {
         text += " placed_ms=" + millisText(*entry.placedAt - entry.arrivedAt);
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -57,6 +57,8 @@
     time_point sentAt{};
     // Time at which the request fails over to another endpoint, if one has room.
     std::optional<time_point> failoverAt;
+    std::optional<answer_framing> framing; // Set when a stream begins.
+    std::uint64_t events = 0; // Whole events of the stream.
 };
 
 // An ask for a place that the hub has not granted yet.
