--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -194,9 +194,8 @@
     m_components.logMessage(severity::Info,
                             log_component::Place,
                             "request=" + entry.request.payload->id + " attempt lost endpoint=" + name.value + " end=" + std::string(nameOf(replyOutcome))
-                                + " runs=" + std::to_string(entry.runs) + " first_event=" + (entry.firstEventAt ? "yes" : "no")
-                                + " after_ms=" + millisText(m_components.clock.now() - entry.attempt->sentAt) + streamText(entry)
-                                + " parts=" + partsText(entry));
+                                + " runs=" + std::to_string(entry.runs) + " first_event=" + (entry.firstEventAt ? "yes" : "no") + " after_ms="
+                                + millisText(m_components.clock.now() - entry.attempt->sentAt) + streamText(entry) + " parts=" + partsText(entry));
     entry.triedEndpoints.insert(name);
     closeAttempt(entry);
     if (entry.canRepeat() && entry.runs < entry.route->attempts && spendRetry(entry) && retryElsewhere(entry)) {
