Test that streams which break off are never completed

What breaks: a stream that ends inside an event is completed if its framing allows that: without a length and closed, and with any framing if the framing itself is complete. This holds for resumable routes too, which then deliver a part of an event. A stream without a length and without an event is completed. A caller of HTTP/1.0, for whom the end of the connection ends the answer, takes each aborted stream for complete.

What holds already: answers that are reset, plain and prefill answers without a length, heads that break off.

The stand-in of the workers (test/platform_path.py) plays the three framings and the three ways to end an answer early.

--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -40,9 +40,17 @@
         self.send_header("X-Reply-Stamp", REPLY_STAMP)
         for name, value in headers:
             self.send_header(name, value)
-        self.send_header("Content-Length", str(len(body)))
+        if self.server.framing == "close":
+            self.close_connection = True
+        else:
+            self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        self.wfile.write(body[: self.server.cut_after])
+        if self.server.cut_after is not None:
+            self.close_connection = True
+            if self.server.cut_how == "reset":
+                time.sleep(0.05)
+                self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
     def do_GET(self):
         self.do_POST()
@@ -61,23 +69,55 @@
             self.send_answer(200, b"booked:" + body)
 
     def stream(self):
+        server = self.server
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        events = [b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(first, server.event_count + 1)]
+        whole = b"".join(events)
+        # A resumed stream is not cut.
+        cut = server.cut_after if first == 1 else None
         self.send_response(200)
         self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
         self.send_header("X-Reply-Stamp", REPLY_STAMP)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        if server.framing == "chunks":
+            self.send_header("Transfer-Encoding", "chunked")
+        elif server.framing == "length":
+            self.send_header("Content-Length", str(len(whole) if cut is None or server.cut_how != "finished" else cut))
         self.end_headers()
-        for number in range(1, self.server.event_count + 1):
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(0.02)
-        self.wfile.write(b"0\r\n\r\n")
+        left = len(whole) if cut is None else cut
+        for event in events:
+            event = event[:left]
+            left -= len(event)
+            if event:
+                self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event) if server.framing == "chunks" else event)
+                time.sleep(server.event_pause)
+        if cut is not None and server.cut_how == "reset":
+            time.sleep(0.05)
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if server.framing == "chunks" and (cut is None or server.cut_how == "finished"):
+            self.wfile.write(b"0\r\n\r\n")
+        self.close_connection = cut is not None or server.framing == "close"
+
+
+class WorkerServer(ThreadingHTTPServer):
+    """Stand-in of a worker. Streams are framed by chunks, by their length or by the end of the connection ("close"). With cut_after, they end
+    after so many bytes: the connection is closed or reset, or the answer is finished as if it were whole."""
+
+    daemon_threads = True
+    event_count, event_pause = 20, 0.02
+    framing, cut_after, cut_how = "chunks", None, "closed"
+
+    def shutdown_request(self, request):
+        # The base class shuts the connection down first, which would send a regular end before a reset.
+        self.close_request(request)
+
+    def handle_error(self, request, client_address):
+        pass
 
 
 def start_worker(name, stage=None):
-    server = ThreadingHTTPServer((HOST, 0), WorkerHandler)
-    server.daemon_threads = True
-    server.name, server.stage, server.event_count, server.received = name, stage, 20, []
+    server = WorkerServer((HOST, 0), WorkerHandler)
+    server.name, server.stage, server.received = name, stage, []
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
