--- a/standins/http_service.cpp
+++ b/standins/http_service.cpp
@@ -70,6 +70,9 @@
 {
     http::response<http::string_body> response(static_cast<http::status>(status), m_request.version());
     response.set(http::field::content_type, contentType);
+    for (const auto &[name, value] : m_headers) {
+        response.set(name, value);
+    }
     response.keep_alive(m_request.keep_alive());
     response.body() = std::move(body);
     response.prepare_payload();
--- a/standins/http_service.hpp
+++ b/standins/http_service.hpp
@@ -28,6 +28,8 @@
     exchange(beast::tcp_stream &stream, http::request<http::string_body> request);
 
     const http::request<http::string_body> &request() const { return m_request; }
+    // Adds a header to the response.
+    void addHeader(std::string name, std::string value) { m_headers.emplace_back(std::move(name), std::move(value)); }
     std::string_view path() const { return m_path; }
     // Returns the value of a query parameter, or the fallback if the parameter is missing or not a number.
     std::int64_t queryNumber(std::string_view name, std::int64_t fallback) const;
@@ -58,6 +60,7 @@
     http::request<http::string_body> m_request;
     std::string m_path;
     std::string m_query;
+    std::vector<std::pair<std::string, std::string>> m_headers;
     bool m_clientDisconnected = false;
     bool m_connectionDropped = false;
 };
--- a/standins/platform_store_standin.cpp
+++ b/standins/platform_store_standin.cpp
@@ -64,6 +64,8 @@
     // - mode: "up", "busy", "silent" or "reset".
     // - lose_answers: The number of appends that are stored but get no response.
     // - forget: Expires all records of all topics if true.
+    // - copy: Copies all topics if true. The copy takes no more records.
+    // - restore: Returns to the copy and begins a new era if true.
     asio::awaitable<void> control(exchange &call)
     {
         const auto body = call.jsonBody();
@@ -74,6 +76,13 @@
                 topicLog.firstOffset = topicLog.endOffset();
             }
         }
+        if (body.value("copy", false)) {
+            m_copy = m_topics;
+        }
+        if (body.value("restore", false)) {
+            m_topics = m_copy;
+            ++m_era;
+        }
         const auto response = nlohmann::json::object();
         co_await call.reply(200, response);
     }
@@ -83,6 +92,7 @@
     asio::awaitable<bool> applyFault(exchange &call)
     {
         if (m_mode == "busy") {
+            addEra(call);
             co_await call.replyError(503, "busy");
             co_return true;
         }
@@ -93,9 +103,12 @@
             call.dropConnection();
             co_return true;
         }
+        addEra(call);
         co_return false;
     }
 
+    void addEra(exchange &call) const { call.addHeader("Store-Era", std::to_string(m_era)); }
+
     asio::awaitable<void> append(exchange &call)
     {
         const bool handled = co_await applyFault(call);
@@ -138,7 +151,7 @@
             co_await sleepFor(pollInterval);
         }
         const auto &log = m_topics[topicName];
-        if (fromOffset < log.firstOffset) {
+        if (fromOffset < log.firstOffset || fromOffset > log.endOffset()) {
             const nlohmann::json response{{"first", log.firstOffset}};
             co_await call.reply(410, response);
             co_return;
@@ -177,6 +190,8 @@
     }
 
     std::map<std::string, topic_log> m_topics;
+    std::map<std::string, topic_log> m_copy;
+    std::uint64_t m_era = 1; // Rises each time the store comes back from a copy.
     std::string m_mode = "up";
     int m_responsesToLose = 0;
 };
--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -139,8 +139,9 @@
 
 
 class RelayFleet:
-    def __init__(self, build):
+    def __init__(self, build, reading_interval="100ms"):
         self.build = build
+        self.reading_interval = reading_interval
         self.folder = tempfile.mkdtemp()
         self.store_port = free_port()
         self.processes = []
@@ -159,7 +160,7 @@
         with open(path, "w") as settings_file:
             settings_file.write(
                 f"vm: {name}\ndata_centre: dc-a\nlisten: {HOST}:{ports[0]}\nready: {HOST}:{ports[1]}\npeer: {HOST}:{ports[2]}\n"
-                f"directory: {HOST}:{self.store_port}\nreading:\n  interval: 100ms\nengines:\n  direct_limit: 0ms\n"
+                f"directory: {HOST}:{self.store_port}\nreading:\n  interval: {self.reading_interval}\nengines:\n  direct_limit: 0ms\n"
             )
         self.relays[name] = (self.spawn("plantainpoint-relay", ["--settings", path], output), ports)
 
