--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -31,6 +31,7 @@
     "bounds.quota_slack": "120000",
 }
 GRACE_S = 8.0
+LONGEST_RUN_S = 115
 
 
 class CannotRun(Exception):
@@ -149,6 +150,10 @@
         with self.server.lock:
             self.server.topics.setdefault(topic, []).append(bytes([len(key)]) + key.encode() + json.dumps(value).encode())
 
+    def remove(self, topic, key):
+        with self.server.lock:
+            self.server.topics.setdefault(topic, []).append(bytes([len(key)]) + key.encode())
+
     def configure(self, config):
         self.put("keyed.op", "config", config)
 
@@ -236,7 +241,8 @@
         self.relays = []
 
     def start_relays(self, *names):
-        self.relays += [Relay(self, name) for name in names]
+        for name in names:
+            self.relays.append(Relay(self, name))
         wait_for("all VMs are ready", lambda: all(relay.is_ready() for relay in self.relays), 10)
         time.sleep(2.5)  # The VMs find each other and their hubs.
         return self.relays
@@ -394,15 +400,18 @@
 
 def main(folder, play):
     """Runs a case. play(case) returns whether the rule held and a text."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit("stopped by a signal"))
+    signal.alarm(LONGEST_RUN_S)
     case = Case(folder)
     try:
         held, text = play(case)
         verdict = HELD if held else BROKEN
-    except (CannotRun, OSError) as error:
-        verdict, text = NOT_RUN, f"could not run: {error}"
+    except BaseException as error:  # Whatever happens, the processes of the case are ended and the exit code says so.
+        verdict, text = NOT_RUN, f"could not run: {error!r}"
     finally:
         case.stop()
     name = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[verdict]
     case.record.write(f"verdict {name}: {text}")
-    print(f"{name}: {text}")
-    sys.exit(verdict)
+    print(f"{name}: {text}", flush=True)
+    os._exit(verdict)  # Threads of callers may still wait.
