Keep the attempt at a silent endpoint until another one answers

Cause: failover closed the attempt at the silent endpoint first and asked the next one then. When that one was full, unreachable, had lost its address or answered with a failure, nothing was left and the stream was cut; a request without its first byte got a 502 instead. The class of fault is giving up what works for what is not certain yet.

Change: an overdue attempt stays open beside the one that is to replace it. The first of the two that is answered is kept and the other one aborted. A refused or lost replacement leaves the request with its first endpoint. A stream leaves a silent endpoint 300 ms after its replacement was sent, as two endpoints may not work on it for longer than 400 ms. `attempt overdue` tells for how long the endpoint was silent.

--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -386,6 +386,9 @@
     if (entry.attempt && entry.attempt->failoverAt) {
         wakeupTime = std::min(wakeupTime, *entry.attempt->failoverAt);
     }
+    if (const auto endsAt = overdueAttemptEndsAt(entry)) {
+        wakeupTime = std::min(wakeupTime, *endsAt);
+    }
     if (entry.ask) {
         wakeupTime = std::min(wakeupTime, askDueAt(*entry.ask));
     }
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -14,6 +14,9 @@
 constexpr duration shortestFailoverTime = milliseconds{60};
 constexpr duration streamFailoverTime = milliseconds{1200}; // Time beyond the expected first event.
 constexpr std::int64_t gapFactor = 3; // Multiple of the objective for the pause between events.
+constexpr duration minFailoverGap = milliseconds{700};
+// A stream may not be worked on by its former endpoint 400 ms after another one has gone on with it.
+constexpr duration handoverTime = milliseconds{300};
 
 } // namespace
 
@@ -89,17 +92,69 @@
     return found == m_attempts.end() ? nullptr : m_entries.at(found->second).get();
 }
 
-void relay_requests::closeAttempt(relay_entry &entry)
+void relay_requests::close(std::optional<relay_attempt> &attempt)
 {
-    if (!entry.attempt) {
+    if (!attempt) {
         return;
     }
     ++m_workVersion;
-    m_attempts.erase(entry.attempt->number);
-    if (auto *const endpoint = m_components.endpoints.find(entry.attempt->endpoint)) {
-        endpoint->open.erase(entry.attempt->number);
+    m_attempts.erase(attempt->number);
+    if (auto *const endpoint = m_components.endpoints.find(attempt->endpoint)) {
+        endpoint->open.erase(attempt->number);
+    }
+    attempt.reset();
+}
+
+// Closes an attempt that has not ended, with its connection.
+void relay_requests::abort(std::optional<relay_attempt> &attempt)
+{
+    if (attempt) {
+        m_components.commands.push_back(relay_abort{attempt->number});
+        close(attempt);
+    }
+}
+
+// Keeps the attempt that is answered, and aborts the other one if there are two.
+void relay_requests::keepAttempt(relay_entry &entry, attempt_number number)
+{
+    if (isOverdue(entry, number)) {
+        abort(entry.attempt);
+        returnToOverdueAttempt(entry);
+    } else {
+        abort(entry.overdueAttempt);
     }
-    entry.attempt.reset();
+}
+
+// Goes on with the overdue attempt when no other one is left. Returns false if there is none.
+bool relay_requests::returnToOverdueAttempt(relay_entry &entry)
+{
+    if (!entry.overdueAttempt) {
+        return false;
+    }
+    releaseReservation(entry);
+    releaseSource(entry);
+    entry.attempt = std::exchange(entry.overdueAttempt, std::nullopt);
+    if (entry.machine.stage() == relay_stage::Waiting || entry.machine.stage() == relay_stage::Prefilling) {
+        entry.machine.apply(relay_event::sent{});
+    }
+    if (entry.attempt->framing && entry.machine.stage() == relay_stage::Forwarded) {
+        entry.machine.apply(relay_event::streaming{});
+    }
+    entry.lastEndpoint = entry.attempt->endpoint;
+    if (entry.runs < entry.route->attempts) {
+        entry.attempt->failoverAt = m_components.clock.now() + minFailoverGap;
+    }
+    m_components.logMessage(
+        severity::Info, log_component::Place, "request=" + entry.request.payload->id + " stays with overdue attempt endpoint=" + entry.attempt->endpoint.value);
+    scheduleWakeup(entry);
+    return true;
+}
+
+// Returns the time at which a stream leaves its silent endpoint, unless the endpoint that is to go on refuses the stream before.
+std::optional<time_point> relay_requests::overdueAttemptEndsAt(const relay_entry &entry)
+{
+    const bool isSent = entry.overdueAttempt && entry.attempt && entry.attempt->kind == dispatch_kind::Decode;
+    return isSent && entry.isStream() ? std::optional(entry.attempt->sentAt + handoverTime) : std::nullopt;
 }
 
 void relay_requests::releaseReservation(relay_entry &entry)
@@ -201,7 +256,7 @@
     entry.machine.apply(relay_event::requeued{});
     if (place(entry)) {
         scheduleWakeup(entry);
-    } else {
+    } else if (!returnToOverdueAttempt(entry)) {
         enqueueOrRefuse(entry);
     }
 }
@@ -212,6 +267,7 @@
     if (entry == nullptr) {
         return;
     }
+    keepAttempt(*entry, head.attempt);
     recordReportedLoad(entry->attempt->endpoint, head.load);
     entry->attempt->framing = head.framing;
     entry->machine.apply(relay_event::streaming{});
@@ -229,25 +285,32 @@
         return;
     }
     const auto now = m_components.clock.now();
-    auto *const endpoint = m_components.endpoints.find(entry->attempt->endpoint);
+    const bool overdue = isOverdue(*entry, part.attempt);
+    auto &attempt = overdue ? *entry->overdueAttempt : *entry->attempt;
+    auto *const endpoint = m_components.endpoints.find(attempt.endpoint);
     if (endpoint != nullptr) {
         auto &work = endpoint->open[part.attempt];
         if (!work.answered) {
             work.answered = true;
             ++m_workVersion;
             ++endpoint->unreported.successes;
-            endpoint->endpointStatistics.onSuccess(now - entry->attempt->sentAt, now);
+            endpoint->endpointStatistics.onSuccess(now - attempt.sentAt, now);
             m_components.metrics.firstEvent.add(now - entry->arrivedAt);
         }
     }
-    const auto [events, bytes] = readEvents(*entry, part.bytes);
-    if (entry->events.isOverlong()) {
+    const auto [events, bytes] = readEvents(*entry, attempt, part.bytes);
+    if (attempt.splitter.isOverlong()) {
         m_components.commands.push_back(relay_abort{part.attempt});
-        onLost(*entry, reply_outcome::Broken);
+        if (overdue) {
+            onOverdueAttemptFailed(*entry, reply_outcome::Broken, nullptr);
+        } else {
+            onLost(*entry, reply_outcome::Broken);
+        }
         return;
     }
     // Only whole events are progress, so that an endpoint that sends a byte now and then counts as stalled.
     if (events > 0) {
+        keepAttempt(*entry, part.attempt);
         onStreamProgress(*entry, now);
     }
     if (!bytes.empty()) {
@@ -266,19 +329,19 @@
     entry.firstEventAt = entry.firstEventAt.value_or(now);
     entry.lastPartAt = now;
     if (entry.attempt->failoverAt) {
-        entry.attempt->failoverAt = now + std::max<duration>(entry.route->gapObjective * gapFactor, milliseconds{700});
+        entry.attempt->failoverAt = now + std::max<duration>(entry.route->gapObjective * gapFactor, minFailoverGap);
     }
     scheduleWakeup(entry);
 }
 
 // Returns the number of events that the bytes complete, and the bytes for the caller. A stream that may resume at another endpoint is passed
 // on in whole events only, and without those that the caller has.
-relay_requests::stream_bytes relay_requests::readEvents(relay_entry &entry, std::string_view bytes)
+relay_requests::stream_bytes relay_requests::readEvents(relay_entry &entry, relay_attempt &attempt, std::string_view bytes)
 {
     stream_bytes result;
-    entry.events.feed(bytes, [&](std::string_view event, std::optional<std::uint64_t> id) {
+    attempt.splitter.feed(bytes, [&](std::string_view event, std::optional<std::uint64_t> id) {
         ++result.events;
-        entry.attempt->events += event_splitter::hasField(event) ? 1 : 0;
+        attempt.events += event_splitter::hasField(event) ? 1 : 0;
         if (!entry.route->resumable || (id && entry.lastEventId && *id <= *entry.lastEventId)) {
             return;
         }
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -28,21 +28,21 @@
     return text.empty() ? "-" : text;
 }
 
-// Returns how the stream of the open attempt ended, or nothing if no stream has begun.
-std::string streamText(const relay_entry &entry)
+// Returns how the stream of the attempt ended, or nothing if no stream has begun.
+std::string streamText(const std::optional<relay_attempt> &attempt)
 {
-    if (!entry.attempt || !entry.attempt->framing) {
+    if (!attempt || !attempt->framing) {
         return {};
     }
-    return " framing=" + std::string(nameOf(*entry.attempt->framing)) + " events=" + std::to_string(entry.attempt->events)
-           + " unfinished_bytes=" + std::to_string(entry.events.rest().size());
+    return " framing=" + std::string(nameOf(*attempt->framing)) + " events=" + std::to_string(attempt->events)
+           + " unfinished_bytes=" + std::to_string(attempt->splitter.rest().size());
 }
 
 // Returns whether a stream is incomplete although its connection ended regularly. The end of the connection shows neither that an event is whole nor,
 // without a length, that the endpoint has begun to write events.
-bool breaksOff(const relay_entry &entry)
+bool breaksOff(const relay_attempt &attempt)
 {
-    return entry.events.isInsideEvent() || (entry.attempt->framing == answer_framing::Close && entry.attempt->events == 0);
+    return attempt.splitter.isInsideEvent() || (attempt.framing == answer_framing::Close && attempt.events == 0);
 }
 
 bool isSuccess(int status)
@@ -58,6 +58,14 @@
     if (entry == nullptr) {
         return;
     }
+    if (isOverdue(*entry, reply.attempt)) {
+        // A stream that has begun has no other answer than its events.
+        if (reply.notRun || reply.wrongEndpoint || !reply.genuine || entry->headSent) {
+            onOverdueAttemptFailed(*entry, reply_outcome::Broken, &reply);
+            return;
+        }
+        keepAttempt(*entry, reply.attempt);
+    }
     recordReportedLoad(entry->attempt->endpoint, reply.load);
     if (reply.notRun || reply.wrongEndpoint) {
         ++m_components.metrics.notRun;
@@ -80,7 +88,9 @@
     recordAttemptOutcome(*entry, succeeded);
     closeAttempt(*entry);
     if (entry->headSent) {
-        abortStream(*entry, "the endpoint refused to resume the stream");
+        if (!returnToOverdueAttempt(*entry)) {
+            abortStream(*entry, "the endpoint refused to resume the stream");
+        }
         return;
     }
     forwardReply(*entry, std::move(reply));
@@ -109,12 +119,15 @@
     if (entry == nullptr) {
         return;
     }
-    if (message.end == reply_outcome::Complete && breaksOff(*entry)) {
-        onLost(*entry, reply_outcome::Broken);
+    const bool overdue = isOverdue(*entry, message.attempt);
+    const bool complete = message.end == reply_outcome::Complete && !breaksOff(overdue ? *entry->overdueAttempt : *entry->attempt);
+    if (overdue && !complete) {
+        onOverdueAttemptFailed(*entry, message.end == reply_outcome::Complete ? reply_outcome::Broken : message.end, nullptr);
         return;
     }
-    if (message.end == reply_outcome::Complete) {
-        const auto rest = std::string(entry->route->resumable ? entry->events.rest() : std::string_view{});
+    if (complete) {
+        keepAttempt(*entry, message.attempt);
+        const auto rest = std::string(entry->route->resumable ? entry->attempt->splitter.rest() : std::string_view{});
         if (!rest.empty()) {
             m_components.commands.push_back(answer_stream_bytes{entry->request.caller, rest});
         }
@@ -123,6 +136,10 @@
         finish(*entry, "streamed", 200);
         return;
     }
+    if (message.end == reply_outcome::Complete) {
+        onLost(*entry, reply_outcome::Broken);
+        return;
+    }
     if (entry->attempt->kind == dispatch_kind::Prefill) {
         recordAttemptOutcome(*entry, false);
         closeAttempt(*entry);
@@ -140,15 +157,7 @@
 {
     const auto name = entry.attempt->endpoint;
     const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
-    auto *const endpoint = m_components.endpoints.find(name);
-    if (endpoint != nullptr && reply != nullptr && reply->wrongEndpoint) {
-        endpoint->gone = true;
-    } else if (endpoint != nullptr && reply != nullptr) {
-        endpoint->fullUntil = m_components.clock.now() + fullBackoff;
-    } else if (endpoint != nullptr) {
-        endpoint->onUnreachable(m_components.clock.now());
-    }
-    logNotRun(entry, reply);
+    recordNotRun(entry, *entry.attempt, reply);
     closeAttempt(entry);
     if (prefill) {
         onPrefillFailed(entry);
@@ -166,11 +175,14 @@
         }
         // Every other endpoint is full as well. Those that refused may have room by the time the request is placed.
         entry.triedEndpoints.clear();
-        if (!entry.headSent) {
+        if (!entry.headSent && !entry.overdueAttempt) {
             enqueueOrRefuse(entry);
             return;
         }
     }
+    if (returnToOverdueAttempt(entry)) {
+        return;
+    }
     if (entry.headSent) {
         abortStream(entry, "no endpoint resumes the stream");
     } else {
@@ -178,9 +190,22 @@
     }
 }
 
-void relay_requests::logNotRun(const relay_entry &entry, const relay_reply *reply) const
+// Avoids the endpoint for a moment, or for good if another endpoint has its address.
+void relay_requests::recordNotRun(const relay_entry &entry, const relay_attempt &attempt, const relay_reply *reply)
+{
+    auto *const endpoint = m_components.endpoints.find(attempt.endpoint);
+    if (endpoint != nullptr && reply != nullptr && reply->wrongEndpoint) {
+        endpoint->gone = true;
+    } else if (endpoint != nullptr && reply != nullptr) {
+        endpoint->fullUntil = m_components.clock.now() + fullBackoff;
+    } else if (endpoint != nullptr) {
+        endpoint->onUnreachable(m_components.clock.now());
+    }
+    logNotRun(entry, attempt, reply);
+}
+
+void relay_requests::logNotRun(const relay_entry &entry, const relay_attempt &attempt, const relay_reply *reply) const
 {
-    const auto &attempt = *entry.attempt;
     const auto *const endpoint = m_components.endpoints.find(attempt.endpoint);
     std::string text = "request=" + entry.request.payload->id + " not run kind=" + std::string(nameOf(attempt.kind)) + " endpoint=" + attempt.endpoint.value;
     text += " status=" + std::to_string(reply != nullptr ? reply->status : 0);
@@ -197,21 +222,43 @@
     m_components.logMessage(severity::Info, log_component::Place, std::move(text));
 }
 
+void relay_requests::logLost(const relay_entry &entry, const relay_attempt &attempt, reply_outcome replyOutcome) const
+{
+    m_components.logMessage(severity::Info,
+                            log_component::Place,
+                            "request=" + entry.request.payload->id + " attempt lost endpoint=" + attempt.endpoint.value
+                                + " end=" + std::string(nameOf(replyOutcome)) + " runs=" + std::to_string(entry.runs)
+                                + " first_event=" + (entry.firstEventAt ? "yes" : "no") + " after_ms=" + millisText(m_components.clock.now() - attempt.sentAt)
+                                + streamText(attempt) + " parts=" + partsText(entry));
+}
+
+// Handles the end of an overdue attempt without an answer. The attempt at another endpoint goes on.
+void relay_requests::onOverdueAttemptFailed(relay_entry &entry, reply_outcome replyOutcome, const relay_reply *reply)
+{
+    const bool notRun = replyOutcome == reply_outcome::NotSent || (reply != nullptr && (reply->notRun || reply->wrongEndpoint));
+    if (notRun) {
+        recordNotRun(entry, *entry.overdueAttempt, reply);
+        --entry.runs;
+    } else {
+        logLost(entry, *entry.overdueAttempt, replyOutcome);
+    }
+    close(entry.overdueAttempt);
+    scheduleWakeup(entry);
+}
+
 // Handles an attempt that was sent and whose outcome is unknown.
 void relay_requests::onLost(relay_entry &entry, reply_outcome replyOutcome)
 {
     recordAttemptOutcome(entry, false);
-    const auto name = entry.attempt->endpoint;
-    m_components.logMessage(severity::Info,
-                            log_component::Place,
-                            "request=" + entry.request.payload->id + " attempt lost endpoint=" + name.value + " end=" + std::string(nameOf(replyOutcome))
-                                + " runs=" + std::to_string(entry.runs) + " first_event=" + (entry.firstEventAt ? "yes" : "no") + " after_ms="
-                                + millisText(m_components.clock.now() - entry.attempt->sentAt) + streamText(entry) + " parts=" + partsText(entry));
-    entry.triedEndpoints.insert(name);
+    logLost(entry, *entry.attempt, replyOutcome);
+    entry.triedEndpoints.insert(entry.attempt->endpoint);
     closeAttempt(entry);
     if (entry.canRepeat() && entry.runs < entry.route->attempts && spendRetry(entry) && retryElsewhere(entry)) {
         return;
     }
+    if (returnToOverdueAttempt(entry)) {
+        return;
+    }
     if (entry.headSent) {
         abortStream(entry, "the endpoint did not complete the stream");
     } else {
@@ -220,11 +267,10 @@
     }
 }
 
-// Returns false when no other endpoint has room. The entry is then unchanged except for its stage and event buffer.
+// Returns false when no other endpoint has room. The entry is then unchanged except for its stage.
 bool relay_requests::retryElsewhere(relay_entry &entry)
 {
     entry.machine.apply(relay_event::requeued{});
-    entry.events = {};
     if (!place(entry)) {
         return false;
     }
@@ -264,6 +310,9 @@
             onAskOverdue(entry);
         } else if (entry.machine.stage() == relay_stage::Waiting) {
             failRequest(entry, failure::Overloaded, outcome::NotRun, "no place in time");
+        } else if (const auto endsAt = overdueAttemptEndsAt(entry); endsAt && now >= *endsAt) {
+            abort(entry.overdueAttempt);
+            scheduleWakeup(entry);
         } else if (entry.attempt && entry.attempt->failoverAt && now >= *entry.attempt->failoverAt) {
             failOver(entry);
         } else {
@@ -272,11 +321,11 @@
     }
 }
 
-// Retries an overdue attempt at another endpoint if one has room.
+// Tries another endpoint with room for an overdue attempt. The overdue attempt is left when the other one is answered, as a silent endpoint may go on and
+// the other one may refuse. Reading a prompt begins again elsewhere.
 void relay_requests::failOver(relay_entry &entry)
 {
     const auto name = entry.attempt->endpoint;
-    const auto number = entry.attempt->number;
     const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
     entry.attempt->failoverAt.reset();
     if (!prefill && !(entry.runs < entry.route->attempts && canPlaceElsewhere(entry) && spendRetry(entry))) {
@@ -284,14 +333,20 @@
         return;
     }
     recordAttemptOutcome(entry, false);
-    m_components.logMessage(severity::Info, log_component::Place, "request=" + entry.request.payload->id + " attempt overdue endpoint=" + name.value);
+    const auto silence = m_components.clock.now() - (entry.attempt->events > 0 ? entry.lastPartAt : entry.attempt->sentAt);
+    m_components.logMessage(severity::Info,
+                            log_component::Place,
+                            "request=" + entry.request.payload->id + " attempt overdue endpoint=" + name.value + " silent_ms=" + millisText(silence));
     entry.triedEndpoints.insert(name);
-    m_components.commands.push_back(relay_abort{number});
-    closeAttempt(entry);
     if (prefill) {
+        abort(entry.attempt);
         onPrefillFailed(entry);
-    } else if (!retryElsewhere(entry)) {
-        enqueueOrRefuse(entry);
+        return;
+    }
+    abort(entry.overdueAttempt);
+    entry.overdueAttempt = std::exchange(entry.attempt, std::nullopt);
+    if (!retryElsewhere(entry)) {
+        returnToOverdueAttempt(entry);
     }
 }
 
@@ -309,10 +364,8 @@
 void relay_requests::finish(relay_entry &entry, std::string_view result, int status)
 {
     logResult(entry, result, status);
-    if (entry.attempt) {
-        m_components.commands.push_back(relay_abort{entry.attempt->number});
-    }
-    closeAttempt(entry);
+    abort(entry.attempt);
+    abort(entry.overdueAttempt);
     releaseReservation(entry);
     releaseSource(entry);
     removeFromQueue(entry);
@@ -345,7 +398,7 @@
     if (entry.firstEventAt) {
         text += " first_ms=" + millisText(*entry.firstEventAt - entry.arrivedAt) + " gap_ms=" + millisText(entry.longestGap);
     }
-    text += streamText(entry);
+    text += streamText(entry.attempt);
     if (entry.placedAt) {
         text += " placed_ms=" + millisText(*entry.placedAt - entry.arrivedAt);
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -58,6 +58,7 @@
     // Time at which the request fails over to another endpoint, if one has room.
     std::optional<time_point> failoverAt;
     std::optional<answer_framing> framing; // Set when a stream begins.
+    event_splitter splitter;
     std::uint64_t events = 0; // Whole events of the stream, without comments.
 };
 
@@ -83,6 +84,8 @@
     relay_machine machine;
     std::optional<open_ask> ask;
     std::optional<relay_attempt> attempt;
+    // An attempt whose endpoint is silent. It stays open while `attempt` tries another endpoint.
+    std::optional<relay_attempt> overdueAttempt;
     std::optional<attempt_number> reservation; // Slot at the decode endpoint while the prefill endpoint reads the prompt.
     endpoint_name reservationEndpoint;
     std::optional<prefill_source> source; // Prefill result that no decode endpoint has fetched.
@@ -98,7 +101,6 @@
     std::optional<time_point> firstEventAt;
     time_point lastPartAt{}; // Time of the last whole event.
     duration longestGap{}; // Longest pause between two events.
-    event_splitter events;
     std::optional<std::uint64_t> lastEventId; // Last event that the caller has.
     bool headSent = false;
 
@@ -171,7 +173,13 @@
     void sendDecode(relay_entry &entry, endpoint_entry &endpoint);
     std::optional<time_point> failoverTime(const relay_entry &entry, dispatch_kind kind, duration expected) const;
     relay_entry *findByAttempt(attempt_number number);
-    void closeAttempt(relay_entry &entry);
+    void closeAttempt(relay_entry &entry) { close(entry.attempt); }
+    void close(std::optional<relay_attempt> &attempt);
+    void abort(std::optional<relay_attempt> &attempt);
+    void keepAttempt(relay_entry &entry, attempt_number number);
+    bool returnToOverdueAttempt(relay_entry &entry);
+    static bool isOverdue(const relay_entry &entry, attempt_number number) { return entry.overdueAttempt && entry.overdueAttempt->number == number; }
+    static std::optional<time_point> overdueAttemptEndsAt(const relay_entry &entry);
     void releaseReservation(relay_entry &entry);
     void releaseSource(relay_entry &entry);
     void recoverSource(relay_entry &entry);
@@ -183,8 +191,11 @@
 
     // Outcomes.
     void onNotRun(relay_entry &entry, const relay_reply *reply);
-    void logNotRun(const relay_entry &entry, const relay_reply *reply) const;
+    void recordNotRun(const relay_entry &entry, const relay_attempt &attempt, const relay_reply *reply);
+    void logNotRun(const relay_entry &entry, const relay_attempt &attempt, const relay_reply *reply) const;
     void onLost(relay_entry &entry, reply_outcome replyOutcome);
+    void logLost(const relay_entry &entry, const relay_attempt &attempt, reply_outcome replyOutcome) const;
+    void onOverdueAttemptFailed(relay_entry &entry, reply_outcome replyOutcome, const relay_reply *reply);
     void onPrefillFailed(relay_entry &entry);
     bool retryElsewhere(relay_entry &entry);
     void failOver(relay_entry &entry);
@@ -197,7 +208,7 @@
         int events = 0;
         std::string forCaller;
     };
-    static stream_bytes readEvents(relay_entry &entry, std::string_view bytes);
+    static stream_bytes readEvents(relay_entry &entry, relay_attempt &attempt, std::string_view bytes);
     void onStreamProgress(relay_entry &entry, time_point now);
     void finish(relay_entry &entry, std::string_view result, int status);
     void logResult(const relay_entry &entry, std::string_view result, int status) const;
