Give a worker that reads nothing for a moment time to go on

Cause: connections to endpoints were ended 0.9 s after sent bytes had not been acknowledged (TCP_USER_TIMEOUT), which also holds while the receive buffer of a worker is full. That time was chosen to notice lost hosts and is shorter than the silence of a sound worker.

Change: the time is 3 s for endpoints. The connections to the store keep 0.9 s.

--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -67,9 +67,10 @@
     static constexpr auto flushTime = std::chrono::seconds{1}; // Time for answers that are still being written when the core has stopped.
     static constexpr auto storeOptions =
         http_client_options{.connectTimeout = std::chrono::milliseconds{300}, .unacknowledgedTimeout = std::chrono::milliseconds{900}, .maxIdlePerAddress = 2};
-    // An endpoint that does not accept a connection within this time would miss the latency objective anyway.
+    // An endpoint that does not accept a connection within this time would miss the latency objective anyway. A sound endpoint may read nothing for a
+    // second or so; requests that may be repeated are sent to another one earlier.
     static constexpr auto endpointOptions =
-        http_client_options{.connectTimeout = std::chrono::milliseconds{250}, .unacknowledgedTimeout = std::chrono::milliseconds{900}, .maxIdlePerAddress = 6};
+        http_client_options{.connectTimeout = std::chrono::milliseconds{250}, .unacknowledgedTimeout = std::chrono::milliseconds{3000}, .maxIdlePerAddress = 6};
 
     void deliver(relay_input message) { m_loop.deliver(std::move(message)); }
     void onCallerInput(input message);
--- a/test/silent_workers.py
+++ b/test/silent_workers.py
@@ -1,6 +1,7 @@
 """Runs a relay VM against decode workers that fall silent in the middle of a stream and go on, and that refuse to resume the streams of others.
 
-Callers use kept connections, and the configuration changes meanwhile. Every request has to get a whole answer or a refusal.
+Callers use kept connections, and the configuration changes meanwhile. Every request has to get a whole answer or a refusal. A booking worker reads
+nothing for a moment while a body that does not fit into its receive buffer is sent to it.
 """
 import argparse
 import http.client
@@ -14,6 +15,8 @@
 EVENTS = 20
 SILENT_AFTER = 5  # Events.
 SILENCES = (0.6, 1.0, 1.3, 1.6)  # Seconds.
+DEAF_TIME = 1.3  # Seconds.
+BODY_SIZE = 900_000  # Bytes. The buffers of a loopback connection with a small receive buffer hold less.
 CALLERS = 6
 ROUNDS = 4
 
@@ -41,6 +44,25 @@
         self.wfile.write(b"0\r\n\r\n")
 
 
+class DeafHandler(WorkerHandler):
+    def setup(self):
+        time.sleep(DEAF_TIME)
+        super().setup()
+
+
+class DeafServer(WorkerServer):
+    def server_bind(self):
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        super().server_bind()
+
+
+def start_deaf_worker(name):
+    server = DeafServer((HOST, 0), DeafHandler)
+    server.name, server.stage, server.received = name, None, []
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
 def start_worker(name):
     server = WorkerServer((HOST, 0), SilentHandler)
     server.name, server.stage, server.received = name, "decode", []
@@ -86,6 +108,7 @@
 
 def configuration(version):
     result = make_configuration(version, ["k-1"])
+    result["limits"]["body_bytes"] = 2 * BODY_SIZE
     result["routes"].append({**result["routes"][2], "name": "resume", "path_prefix": "/resume/", "resumable": True, "timeout_ms": 7000 + version})
     return result
 
@@ -95,14 +118,18 @@
     parser.add_argument("--build", required=True)
     fleet = RelayFleet(parser.parse_args().build)
     workers = [start_worker(f"i-dec-{number}") for number in (1, 2, 3)]
+    deaf_worker = start_deaf_worker("i-desk-1")
     try:
         wait_for("the store listens", lambda: socket.socket().connect_ex((HOST, fleet.store_port)) == 0, 5.0)
         fleet.append_to_log("keyed.op", "config", configuration(1))
         for worker in workers:
             fleet.append_to_log("keyed.servers", worker.name, worker_entry(worker, "llm", "decode"))
+        fleet.append_to_log("keyed.servers", deaf_worker.name, worker_entry(deaf_worker, "desk"))
         fleet.start_relay("vm-1")
         wait_for("vm-1 is ready", lambda: fleet.is_ready("vm-1"), 4.0)
         time.sleep(1.5)
+        status, body, _ = fleet.request("vm-1", "/book/1", body=b"x" * BODY_SIZE, X_Deadline_Ms="4000")
+        assert (status, len(body)) == (200, BODY_SIZE + len(b"booked:")), f"a worker that read late: expected status 200, got {status} {body[:200]!r}"
         callers = Callers(fleet.relays["vm-1"][1][0])
         threads = [threading.Thread(target=callers.run, args=(number,)) for number in range(CALLERS)]
         for thread in threads:
