Let a stream that broke off wait for a place

Cause: a lost or refused attempt of a stream that had begun was placed at once or never, although its caller waits for seconds. Between the head and the first event the caller's deadline was also counted from an unset time, so that such a stream could not have waited at all.

Evidence: brokenStreamWaitsForAPlace and streamThatBreaksOffAfterItsHeadWaitsForAPlace fail before (5 checks) and pass.

The retry is paid for before, as it was.

--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -322,6 +322,12 @@
     });
 }
 
+// Returns the time since which the caller has had nothing of its answer, or nothing more.
+time_point relay_requests::waitingSince(const relay_entry &entry)
+{
+    return entry.firstEventAt ? entry.lastPartAt : entry.arrivedAt;
+}
+
 // Returns the time at which the caller gives up unless more of the answer arrives.
 time_point relay_requests::callerDeadlineOf(const relay_entry &entry) const
 {
@@ -329,7 +335,7 @@
         return entry.deadline;
     }
     const auto gap = std::max<duration>({entry.route->objective * abandonFactor, entry.route->gapObjective * abandonGapFactor, minAbandonTime});
-    return std::min(entry.deadline, (entry.headSent ? entry.lastPartAt : entry.arrivedAt) + gap);
+    return std::min(entry.deadline, waitingSince(entry) + gap);
 }
 
 // Returns the time at which a stream without a further event is given up: later than its caller would leave.
@@ -380,7 +386,7 @@
 {
     auto wakeupTime = entry.deadline;
     if (entry.machine.stage() == relay_stage::Waiting) {
-        const auto waitStart = entry.headSent ? entry.lastPartAt : entry.arrivedAt;
+        const auto waitStart = waitingSince(entry);
         wakeupTime = std::min(wakeupTime, waitStart + std::chrono::duration_cast<duration>((callerDeadlineOf(entry) - waitStart) * maxWaitFraction));
     }
     if (entry.attempt && entry.attempt->failoverAt) {
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -175,10 +175,10 @@
         }
         // Every other endpoint is full as well. Those that refused may have room by the time the request is placed.
         entry.triedEndpoints.clear();
-        if (!entry.headSent && !entry.overdueAttempt) {
+        if (!returnToOverdueAttempt(entry)) {
             enqueueOrRefuse(entry);
-            return;
         }
+        return;
     }
     if (returnToOverdueAttempt(entry)) {
         return;
@@ -253,10 +253,12 @@
     logLost(entry, *entry.attempt, replyOutcome);
     entry.triedEndpoints.insert(entry.attempt->endpoint);
     closeAttempt(entry);
-    if (entry.canRepeat() && entry.runs < entry.route->attempts && spendRetry(entry) && retryElsewhere(entry)) {
+    const bool mayRepeat = entry.canRepeat() && entry.runs < entry.route->attempts && spendRetry(entry);
+    if ((mayRepeat && retryElsewhere(entry)) || returnToOverdueAttempt(entry)) {
         return;
     }
-    if (returnToOverdueAttempt(entry)) {
+    if (mayRepeat) {
+        enqueueOrRefuse(entry);
         return;
     }
     if (entry.headSent) {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -164,6 +164,7 @@
     void withdrawAsk(relay_entry &entry);
     void grant(const placement_request &request, const model_placement &placement);
     void answerAsk(const place_owner &owner, placement_grant answer);
+    static time_point waitingSince(const relay_entry &entry);
     time_point callerDeadlineOf(const relay_entry &entry) const;
     time_point stalledAt(const relay_entry &entry) const;
     void removeFromQueue(const relay_entry &entry);
--- a/test/silent_endpoints_test.cpp
+++ b/test/silent_endpoints_test.cpp
@@ -232,6 +232,55 @@
     }
 }
 
+// Guards against a stream that is cut because the other endpoint has no room at the moment at which the first one breaks off.
+BOOST_AUTO_TEST_CASE(brokenStreamWaitsForAPlace)
+{
+    const auto first = startStream();
+    beginStream(first);
+    streamPart(first, firstEvent);
+    const auto other = first.endpoint.value == "dec-1" ? "dec-2" : "dec-1";
+    const auto reportLoad = [&](std::uint64_t sequence, std::int32_t running) {
+        core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5},
+                                    .sequence = sequence,
+                                    .address = "127.0.0.1:7002",
+                                    .dataCentre = {"dc-a"},
+                                    .loads = {{.endpoint = {other}, .running = running}}});
+        collect();
+    };
+    reportLoad(1, 2);
+    endAttempt(first, reply_outcome::Broken);
+    advance(milliseconds{200});
+    BOOST_TEST(abortedAnswers == 0);
+    BOOST_TEST(dispatches.size() == 1U);
+    reportLoad(2, 0);
+    BOOST_REQUIRE_EQUAL(dispatches.size(), 2U);
+    BOOST_TEST(dispatches[1].endpoint.value == other);
+    BOOST_TEST((dispatches[1].resumeAfter == std::optional<std::uint64_t>{1}));
+    beginStream(dispatches[1]);
+    streamPart(dispatches[1], secondEvent);
+    endAttempt(dispatches[1], reply_outcome::Complete);
+    BOOST_TEST(streamedBytes == firstEvent + secondEvent);
+    BOOST_TEST(streamEnds == 1);
+}
+
+// Guards against a stream that is given up between its head and its first event, as if its caller had waited since the clock began.
+BOOST_AUTO_TEST_CASE(streamThatBreaksOffAfterItsHeadWaitsForAPlace)
+{
+    const auto first = startStream();
+    beginStream(first);
+    const auto other = first.endpoint.value == "dec-1" ? "dec-2" : "dec-1";
+    core.handle(fleet_heartbeat{
+        .from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}, .loads = {{.endpoint = {other}, .running = 2}}});
+    endAttempt(first, reply_outcome::Broken);
+    advance(milliseconds{200});
+    BOOST_TEST(abortedAnswers == 0);
+    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5}, .sequence = 2, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}});
+    collect();
+    BOOST_TEST(dispatches.size() == 2U);
+    advance(milliseconds{10});
+    BOOST_TEST(abortedAnswers == 0);
+}
+
 // Guards against open work that is counted for ever at the two endpoints of a request whose caller has left.
 BOOST_AUTO_TEST_CASE(noWorkIsLeftBehind)
 {
