--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -135,14 +135,15 @@
     void withdraw(const std::string &name) { directory.log.push_back({{name}, std::nullopt, true}); }
 
     // Hands a plain request to a VM.
-    caller_id submit(std::size_t index, const std::string &target)
+    caller_id submit(std::size_t index, const std::string &target, const std::string &body = {}, const std::string &key = "k-acme")
     {
         auto payload = std::make_shared<relay_payload>();
         payload->id = "id-" + std::to_string(++m_lastCaller);
         payload->host = "shop.example";
         payload->method = "POST";
         payload->target = target;
-        vms[index].core->handle(relay_request{.caller = m_lastCaller, .payload = payload, .key = digestOf("k-acme"), .timeToDeadline = milliseconds{1000}});
+        payload->body = body;
+        vms[index].core->handle(relay_request{.caller = m_lastCaller, .payload = payload, .key = digestOf(key), .timeToDeadline = milliseconds{1000}});
         collect(index);
         return m_lastCaller;
     }
@@ -225,6 +226,7 @@
     bool directoryDown = false;
     std::function<void(std::size_t, const relay_dispatch &)> onDispatch;
     std::function<void(caller_id)> onAnswer;
+    std::function<void(const answer_failure &)> onFailure;
     std::set<std::pair<std::size_t, std::size_t>> cutLinks; // Messages from the first VM to the second one are lost.
 
 private:
@@ -291,7 +293,13 @@
             onAnswer(command.caller);
         }
     }
-    void on(std::size_t index, answer_failure &command) { vms[index].failures.push_back(command); }
+    void on(std::size_t index, answer_failure &command)
+    {
+        vms[index].failures.push_back(command);
+        if (onFailure) {
+            onFailure(command);
+        }
+    }
     void on(std::size_t index, send_heartbeat &command)
     {
         transmit(index, command.address, encodeHeartbeat(*command.heartbeatMessage).size(), *command.heartbeatMessage);
