Name the content of lost and overdue requests in the log

The lines of lost attempts named neither the path nor the content, so that two lines of one request that came again could not be told from two lines of different requests, and the attempt that an endpoint crashed on was often closed as overdue before. `attempt lost` and `attempt overdue` now carry a digest of account, method, host, target and body, and the parts of the prompt. It is computed for these lines only.

--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "request_content.hpp"
+
 namespace plantainpoint {
 
 namespace {
@@ -19,13 +21,15 @@
     return tokens ? std::to_string(tokens->prompt) + '+' + std::to_string(tokens->output) : std::string("-");
 }
 
-std::string partsText(const relay_entry &entry)
+// Returns what tells whether two lost requests have something in common.
+std::string contentText(const relay_entry &entry)
 {
-    std::string text;
+    std::string parts;
     for (const auto &part : entry.request.parts) {
-        text += (text.empty() ? "" : ",") + part.value;
+        parts += (parts.empty() ? "" : ",") + part.value;
     }
-    return text.empty() ? "-" : text;
+    const auto account = entry.account != nullptr ? entry.account->name : account_name{};
+    return " content=" + contentDigest(*entry.request.payload, account) + " parts=" + (parts.empty() ? "-" : parts);
 }
 
 // Returns how the stream of the attempt ended, or nothing if no stream has begun.
@@ -229,7 +233,7 @@
                             "request=" + entry.request.payload->id + " attempt lost endpoint=" + attempt.endpoint.value
                                 + " end=" + std::string(nameOf(replyOutcome)) + " runs=" + std::to_string(entry.runs)
                                 + " first_event=" + (entry.firstEventAt ? "yes" : "no") + " after_ms=" + millisText(m_components.clock.now() - attempt.sentAt)
-                                + streamText(attempt) + " parts=" + partsText(entry));
+                                + streamText(attempt) + contentText(entry));
 }
 
 // Handles the end of an overdue attempt without an answer. The attempt at another endpoint goes on.
@@ -338,7 +342,8 @@
     const auto silence = m_components.clock.now() - (entry.attempt->events > 0 ? entry.lastPartAt : entry.attempt->sentAt);
     m_components.logMessage(severity::Info,
                             log_component::Place,
-                            "request=" + entry.request.payload->id + " attempt overdue endpoint=" + name.value + " silent_ms=" + millisText(silence));
+                            "request=" + entry.request.payload->id + " attempt overdue endpoint=" + name.value + " silent_ms=" + millisText(silence)
+                                + contentText(entry));
     entry.triedEndpoints.insert(name);
     if (prefill) {
         abort(entry.attempt);
