Quarantine requests that crash endpoints

Cause: nothing linked the crashes. Each was counted against its endpoint, and the request, its failover and its callers' repeats went to the next one. The class of fault is evidence that lies at several VMs, a piece at each, and is joined nowhere.

A VM that loses an answer checks whether the endpoint has ended; the crash names the traits of the requests that it was beginning: the shared parts of their prompts and a digest of account, method, host, target and body. Crashes, answers and decisions go with heartbeats and summaries. Three crashes that a trait explains quarantine the requests that have it; a suspicious request gets no second attempt from here.

Messages keep their format; VMs of the version before ignore the evidence.

--- a/include/plantainpoint/failure.hpp
+++ b/include/plantainpoint/failure.hpp
@@ -47,6 +47,7 @@
     StaleFencing,
     NotFound,
     Internal,
+    Quarantined,
 };
 
 // What is known about the execution of a refused or failed request.
@@ -99,6 +100,7 @@
     failure_entry{failure::StaleFencing, "stale_fencing", 409},
     failure_entry{failure::NotFound, "not_found", 404},
     failure_entry{failure::Internal, "internal", 500},
+    failure_entry{failure::Quarantined, "quarantined", 503},
 };
 
 constexpr const failure_entry &entryOf(failure kind)
--- a/include/plantainpoint/ids.hpp
+++ b/include/plantainpoint/ids.hpp
@@ -30,6 +30,8 @@
 using endpoint_name = entity_name<struct endpoint_tag>;
 using model_name = entity_name<struct model_tag>;
 using prompt_part = entity_name<struct prompt_part_tag>; // Part of a prompt, named by a hash of its content.
+// What requests may have in common that makes endpoints crash: a part of their prompts, or their whole content.
+using request_trait = entity_name<struct request_trait_tag>;
 
 // One run of the entry program on a VM. A larger number is a later run.
 struct incarnation_id {
--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -211,6 +211,38 @@
     bool operator==(const endpoint_outcomes &) const = default;
 };
 
+// The end of an endpoint while it was answering requests.
+struct endpoint_crash {
+    endpoint_name endpoint;
+    std::int64_t startedAt = 0; // Start of the run that ended, as the endpoint announced it.
+    duration age{}; // Time since the end.
+    std::vector<std::vector<request_trait>> requests; // Traits of the lost requests whose answers had not begun, or had just begun.
+};
+
+// A trait of a request that an endpoint has answered without ending.
+struct answered_trait {
+    request_trait trait;
+    duration age{}; // Time since the answer.
+};
+
+// Requests that crash endpoints.
+struct quarantined_requests {
+    std::vector<request_trait> traits; // In the order of their names. Requests that have all of them are refused.
+    duration left{}; // Time until such requests are sent again.
+    duration age{}; // Time since they were quarantined or released.
+    std::int32_t crashes = 0; // Crashes that led to it.
+    bool released = false;
+};
+
+// What a VM knows of requests that crash endpoints. Crashes and answers are those that it has learnt of lately.
+struct crash_report {
+    std::vector<endpoint_crash> crashes;
+    std::vector<answered_trait> answered;
+    std::vector<quarantined_requests> quarantined;
+
+    bool empty() const { return crashes.empty() && answered.empty() && quarantined.empty(); }
+};
+
 // Message of a VM to the hubs of its data centre. It carries everything that the VM adds to the state of the fleet.
 struct fleet_heartbeat {
     incarnation_id from;
@@ -226,6 +258,7 @@
     std::vector<endpoint_name> changingRole; // Endpoints that were ordered to change their role.
     std::vector<account_usage> usage;
     std::vector<endpoint_outcomes> outcomes;
+    crash_report evidence;
 
     fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
 };
@@ -263,6 +296,7 @@
     std::vector<waiting_count> waiting;
     std::vector<endpoint_name> changingRole;
     std::vector<account_usage> usage; // Admissions of the data centre, or of this VM only in another scope.
+    crash_report evidence;
     // Last heartbeat of the receiver that the totals include, or its last totals if it is a hub of another data centre. The sequence is 0 if
     // there is none.
     std::uint64_t receiverIncarnation = 0;
@@ -336,6 +370,17 @@
     std::optional<std::uint64_t> fencing;
 };
 
+// Result of a check_endpoint command.
+struct endpoint_checked {
+    endpoint_name endpoint;
+    bool refused = false; // Nothing listens at the address: the endpoint has ended.
+};
+
+// Quarantined requests that the directory holds.
+struct quarantine_read {
+    std::vector<quarantined_requests> quarantined;
+};
+
 struct role_order_answered {
     endpoint_name endpoint;
     int status = 0; // Zero: there was no answer, and the order may be carried out later.
@@ -361,6 +406,8 @@
                                  order_log_read,
                                  order_appended,
                                  role_order_answered,
+                                 endpoint_checked,
+                                 quarantine_read,
                                  shutdown_requested>;
 
 // Outputs.
@@ -487,6 +534,17 @@
     std::uint64_t fencing = 0;
 };
 
+// Opens a connection to an endpoint whose answers broke off, and closes it.
+struct check_endpoint {
+    endpoint_name endpoint;
+    std::string address;
+};
+
+// Stores quarantined requests in the directory, so that the record outlasts the VMs, or removes the record.
+struct store_quarantine {
+    quarantined_requests quarantined;
+};
+
 // Stops taking requests: closes idle connections and accepts no new ones.
 struct stop_accepting {
 };
@@ -511,6 +569,8 @@
                                    read_order_log,
                                    append_order,
                                    send_role_order,
+                                   check_endpoint,
+                                   store_quarantine,
                                    stop_accepting,
                                    log_line,
                                    stopped>;
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -130,6 +130,63 @@
     });
 }
 
+json encodeTraits(const std::vector<request_trait> &traits)
+{
+    return encodeList(traits, [](const auto &trait) { return json(trait.value); });
+}
+
+std::vector<request_trait> decodeTraits(const json &in)
+{
+    return decodeList<request_trait>(in, [](const json &name) { return request_trait{name.get<std::string>()}; });
+}
+
+std::int64_t toMilliseconds(duration value)
+{
+    return std::chrono::duration_cast<milliseconds>(value).count();
+}
+
+duration readMilliseconds(const json &in)
+{
+    return milliseconds{in.get<std::uint32_t>()};
+}
+
+json encodeEvidence(const crash_report &evidence)
+{
+    return {encodeList(evidence.crashes,
+                       [](const auto &crash) {
+                           return json{crash.endpoint.value, crash.startedAt, toMilliseconds(crash.age), encodeList(crash.requests, encodeTraits)};
+                       }),
+            encodeList(evidence.answered,
+                       [](const auto &answered) {
+                           return json{answered.trait.value, toMilliseconds(answered.age)};
+                       }),
+            encodeList(evidence.quarantined, [](const auto &request) {
+                return json{encodeTraits(request.traits), toMilliseconds(request.left), toMilliseconds(request.age), request.crashes, request.released};
+            })};
+}
+
+crash_report decodeEvidence(const json &in)
+{
+    crash_report evidence;
+    evidence.crashes = decodeList<endpoint_crash>(in.at(0), [](const json &crash) {
+        return endpoint_crash{{crash.at(0).get<std::string>()},
+                              crash.at(1).get<std::int64_t>(),
+                              readMilliseconds(crash.at(2)),
+                              decodeList<std::vector<request_trait>>(crash.at(3), decodeTraits)};
+    });
+    evidence.answered = decodeList<answered_trait>(in.at(1), [](const json &answered) {
+        return answered_trait{{answered.at(0).get<std::string>()}, readMilliseconds(answered.at(1))};
+    });
+    evidence.quarantined = decodeList<quarantined_requests>(in.at(2), [](const json &request) {
+        return quarantined_requests{decodeTraits(request.at(0)),
+                                    readMilliseconds(request.at(1)),
+                                    readMilliseconds(request.at(2)),
+                                    request.at(3).get<std::int32_t>(),
+                                    request.at(4).get<bool>()};
+    });
+    return evidence;
+}
+
 fleet_heartbeat readHeartbeat(const json &in)
 {
     fleet_heartbeat heartbeatMessage;
@@ -146,6 +203,10 @@
     heartbeatMessage.outcomes = decodeList<endpoint_outcomes>(in.at(8), [](const json &outcomes) {
         return endpoint_outcomes{{outcomes.at(0).get<std::string>()}, outcomes.at(1).get<std::uint16_t>(), outcomes.at(2).get<std::uint16_t>()};
     });
+    // VMs of an earlier version send no evidence.
+    if (in.size() > 9) {
+        heartbeatMessage.evidence = decodeEvidence(in.at(9));
+    }
     return heartbeatMessage;
 }
 
@@ -225,6 +286,9 @@
     summary.memberVms = in.at(12).get<std::int32_t>();
     summary.candidates = decodeList<fleet_member>(in.at(13), decodeMember);
     summary.hasLoads = in.at(14).get<bool>();
+    if (in.size() > 15) {
+        summary.evidence = decodeEvidence(in.at(15));
+    }
     return summary;
 }
 
@@ -261,9 +325,11 @@
                    heartbeatMessage.follows.value,
                    encodeKnowledge(heartbeatMessage.knowledge),
                    encodeTotals(heartbeatMessage),
-                   encodeList(heartbeatMessage.outcomes, [](const auto &outcomes) {
-                       return json{outcomes.endpoint.value, outcomes.successes, outcomes.failures};
-                   })};
+                   encodeList(heartbeatMessage.outcomes,
+                              [](const auto &outcomes) {
+                                  return json{outcomes.endpoint.value, outcomes.successes, outcomes.failures};
+                              }),
+                   encodeEvidence(heartbeatMessage.evidence)};
     return heartbeatKind + toBytes(out);
 }
 
@@ -329,7 +395,8 @@
                    summary.heardVms,
                    summary.memberVms,
                    encodeList(summary.candidates, encodeMember),
-                   summary.hasLoads};
+                   summary.hasLoads,
+                   encodeEvidence(summary.evidence)};
     return toBytes(out);
 }
 
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -15,6 +15,7 @@
 #include "admin_server.hpp"
 #include "clocks.hpp"
 #include "core_loop.hpp"
+#include "endpoint_check.hpp"
 #include "fleet_link.hpp"
 #include "http_server.hpp"
 #include "log_limiter.hpp"
@@ -30,7 +31,8 @@
 template<class T>
 concept relay_platform = endpoint_dialect<typename T::endpoints>
     && requires(caller_request &request, typename T::directory &directory, const std::string &state, const read_order_log &read, const append_order &append,
-                const read_directory &readDirectory, const read_members &readMembers, const import_directory_changes &changes) {
+                const read_directory &readDirectory, const read_members &readMembers, const import_directory_changes &changes,
+                const store_quarantine &quarantine) {
     { T::decodeRequest(request) } -> std::same_as<relay_request>;
     { T::readyPath() } -> std::convertible_to<std::string>;
     directory.start();
@@ -43,6 +45,7 @@
     directory.run(readDirectory);
     directory.run(readMembers);
     directory.run(changes);
+    directory.run(quarantine);
 };
 // clang-format on
 
@@ -91,6 +94,11 @@
     void run(const log_line &command);
     void run(const read_order_log &command) { m_directory.run(command); }
     void run(const append_order &command) { m_directory.run(command); }
+    void run(const store_quarantine &command) { m_directory.run(command); }
+    void run(const check_endpoint &command)
+    {
+        checkEndpoint(m_io, command, [this](endpoint_checked result) { deliver(std::move(result)); });
+    }
     void run(const stop_accepting & /*command*/) { m_server.closeIdle(); }
     void run(const stopped &command);
     void stopWhenQuiet();
--- /dev/null
+++ b/src/crash_evidence.cpp
@@ -0,0 +1,296 @@
+#include "crash_evidence.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace plantainpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto memoryTime = std::chrono::minutes{10}; // Crashes and answers are forgotten after this time.
+constexpr auto tellingTime = milliseconds{700}; // News is repeated for this time, so that a lost message only delays it.
+// Endpoints that end within this time count as one crash, as a failure of their machine or network ends several at once.
+constexpr auto sameCrashTime = milliseconds{20};
+constexpr std::int32_t neededForNewTraits = 3;
+constexpr std::int32_t neededForAnsweredTraits = 5; // Of traits on which answers were written before the crashes.
+constexpr double answeredWeight = 0.5; // Weight of such traits as an explanation.
+constexpr std::size_t maxCrashes = 256;
+constexpr std::size_t maxAnswers = 8192;
+constexpr std::size_t maxRequestsPerCrash = 64;
+constexpr std::size_t maxTold = 16; // Crashes, or answered traits, in one message.
+constexpr std::size_t maxToldRequests = 256; // Lost requests in one message, so that it fits into a datagram.
+
+} // namespace
+
+void crash_evidence::onCrash(const endpoint_name &endpoint, std::int64_t startedAt, const std::vector<request_traits> &requests, time_point at, time_point now)
+{
+    const auto [it, added] = m_crashes.try_emplace({endpoint, startedAt});
+    auto &entry = it->second;
+    entry.at = added ? at : std::min(entry.at, at);
+    bool news = added;
+    for (const auto &request : requests) {
+        const bool known = std::find(entry.requests.begin(), entry.requests.end(), request) != entry.requests.end();
+        if (known || request.empty() || entry.requests.size() >= maxRequestsPerCrash) {
+            continue;
+        }
+        entry.requests.push_back(request);
+        news = true;
+        for (const auto &trait : request) {
+            auto &lostAt = m_lostTraits[trait];
+            lostAt = std::max(lostAt, entry.at);
+            // Other VMs may not know that the trait was answered here.
+            if (const auto answered = m_answers.find(trait); answered != m_answers.end()) {
+                tellIfNews(answered->second, lostAt, now);
+            }
+        }
+    }
+    if (news) {
+        entry.learntAt = now;
+    }
+    if (m_crashes.size() > maxCrashes) {
+        m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &a, const auto &b) { return a.second.at < b.second.at; }));
+    }
+}
+
+bool crash_evidence::onAnswered(const request_traits &traits, time_point at, time_point now)
+{
+    bool wasLost = false;
+    for (const auto &trait : traits) {
+        const auto lost = m_lostTraits.find(trait);
+        // Most contents come once. They matter only after a crash.
+        if (isContent(trait) && lost == m_lostTraits.end()) {
+            continue;
+        }
+        auto &entry = m_answers[trait];
+        entry.at = std::max(entry.at, at);
+        if (lost != m_lostTraits.end()) {
+            wasLost = true;
+            tellIfNews(entry, lost->second, now);
+        }
+    }
+    if (m_answers.size() > maxAnswers) {
+        forgetOldAnswers(now);
+    }
+    return wasLost;
+}
+
+// An answer is news to others if it is the first one, or the first one after a crash.
+void crash_evidence::tellIfNews(answer &entry, time_point lostAt, time_point now)
+{
+    const bool isFirst = entry.toldAnswerAt == time_point{};
+    if (isFirst || (entry.at > lostAt && entry.toldAnswerAt <= lostAt)) {
+        entry.toldAt = now;
+        entry.toldAnswerAt = entry.at;
+    }
+}
+
+void crash_evidence::forgetOldAnswers(time_point now)
+{
+    std::erase_if(m_answers, [&](const auto &item) { return now - item.second.at > memoryTime; });
+    if (m_answers.size() <= maxAnswers) {
+        return;
+    }
+    std::vector<time_point> times;
+    for (const auto &[trait, entry] : m_answers) {
+        times.push_back(entry.at);
+    }
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    std::erase_if(m_answers, [&](const auto &item) { return item.second.at < *middle; });
+}
+
+std::optional<time_point> crash_evidence::answeredAt(const request_trait &trait) const
+{
+    const auto it = m_answers.find(trait);
+    return it == m_answers.end() ? std::nullopt : std::optional(it->second.at);
+}
+
+// Returns those of the crashes in which a request with the trait was lost and after which the trait was not answered, with these requests.
+crash_evidence::trait_record crash_evidence::recordOf(const request_trait &trait, const std::vector<const crash *> &crashes) const
+{
+    trait_record record;
+    const auto answered = answeredAt(trait);
+    for (const auto *each : crashes) {
+        if (answered && each->at <= *answered) {
+            continue;
+        }
+        const auto before = record.requests.size();
+        for (const auto &request : each->requests) {
+            if (std::binary_search(request.begin(), request.end(), trait)) {
+                record.requests.push_back(&request);
+            }
+        }
+        if (record.requests.size() > before) {
+            record.crashes.push_back(each);
+        }
+    }
+    return record;
+}
+
+std::int32_t crash_evidence::countMoments(const std::vector<const crash *> &crashes)
+{
+    std::int32_t count = 0;
+    std::optional<time_point> last;
+    for (const auto *each : crashes) {
+        if (!last || each->at - *last >= sameCrashTime) {
+            ++count;
+            last = each->at;
+        }
+    }
+    return count;
+}
+
+std::int32_t crash_evidence::neededCrashes(const request_trait &trait, const std::set<request_trait> &onProbation) const
+{
+    if (onProbation.contains(trait)) {
+        return 1;
+    }
+    return answeredAt(trait) ? neededForAnsweredTraits : neededForNewTraits;
+}
+
+// Returns the traits that all requests with the trait have in common and that were not answered since the first of the crashes.
+request_traits crash_evidence::commonTraits(const request_trait &trait, const trait_record &record) const
+{
+    // The content determines all other traits.
+    if (isContent(trait)) {
+        return {trait};
+    }
+    auto common = *record.requests.front();
+    for (const auto *request : record.requests) {
+        request_traits rest;
+        std::set_intersection(common.begin(), common.end(), request->begin(), request->end(), std::back_inserter(rest));
+        common = std::move(rest);
+    }
+    std::erase_if(common, [&](const auto &other) {
+        const auto answered = answeredAt(other);
+        return other != trait && answered && *answered > record.crashes.front()->at;
+    });
+    return common;
+}
+
+std::optional<crash_evidence::suspect> crash_evidence::findSuspect(const std::vector<request_traits> &explained,
+                                                                   const std::set<request_trait> &onProbation) const
+{
+    std::vector<const crash *> all;
+    for (const auto &[key, entry] : m_crashes) {
+        all.push_back(&entry);
+    }
+    std::sort(all.begin(), all.end(), [](const auto *a, const auto *b) { return a->at < b->at; });
+    const auto isExplained = [&](const crash *each) {
+        return std::any_of(each->requests.begin(), each->requests.end(), [&](const auto &request) {
+            return std::any_of(explained.begin(), explained.end(), [&](const auto &traits) { return containsAll(request, traits); });
+        });
+    };
+    std::vector<const crash *> open;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(open), [&](const auto *each) { return !isExplained(each); });
+    std::map<request_trait, std::int32_t> lostRequests;
+    for (const auto *each : open) {
+        for (const auto &request : each->requests) {
+            for (const auto &trait : request) {
+                ++lostRequests[trait];
+            }
+        }
+    }
+    std::optional<suspect> best;
+    double bestScore = 0;
+    bool tied = false;
+    for (const auto &[trait, count] : lostRequests) {
+        // A trait of quarantined ones that crashes endpoints without the others is judged by all of its crashes.
+        const bool isKnown =
+            std::any_of(explained.begin(), explained.end(), [&](const auto &traits) { return std::binary_search(traits.begin(), traits.end(), trait); });
+        if (!isKnown && count < neededCrashes(trait, onProbation)) {
+            continue;
+        }
+        const auto record = recordOf(trait, isKnown ? all : open);
+        const auto moments = countMoments(record.crashes);
+        if (moments < neededCrashes(trait, onProbation)) {
+            continue;
+        }
+        // Prefers traits that explain many crashes by few requests.
+        const double score = moments * moments * (answeredAt(trait) ? answeredWeight : 1) / static_cast<double>(record.requests.size());
+        auto traits = commonTraits(trait, record);
+        if (!best || score > bestScore) {
+            best = suspect{std::move(traits), moments};
+            bestScore = score;
+            tied = false;
+        } else if (score == bestScore && traits != best->traits) {
+            tied = true;
+        }
+    }
+    // One more crash tells candidates apart that explain the crashes equally well.
+    return tied && best->crashes < neededForAnsweredTraits ? std::nullopt : best;
+}
+
+bool crash_evidence::isSuspicious(const request_traits &traits) const
+{
+    return std::any_of(traits.begin(), traits.end(), [&](const auto &trait) {
+        const auto answered = answeredAt(trait);
+        return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &item) {
+            const auto &entry = item.second;
+            return (!answered || entry.at > *answered) && std::any_of(entry.requests.begin(), entry.requests.end(), [&](const auto &request) {
+                       return std::binary_search(request.begin(), request.end(), trait);
+                   });
+        });
+    });
+}
+
+bool crash_evidence::isRefuted(const request_traits &traits, time_point quarantinedAt) const
+{
+    std::optional<time_point> answered;
+    for (const auto &trait : traits) {
+        const auto at = answeredAt(trait);
+        if (!at) {
+            return false;
+        }
+        answered = std::min(answered.value_or(*at), *at);
+    }
+    std::vector<const crash *> crashes;
+    bool isKnown = false;
+    for (const auto &[key, entry] : m_crashes) {
+        const bool holds = std::any_of(entry.requests.begin(), entry.requests.end(), [&](const auto &request) { return containsAll(request, traits); });
+        isKnown = isKnown || holds;
+        if (holds && entry.at > *answered) {
+            crashes.push_back(&entry);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end(), [](const auto *a, const auto *b) { return a->at < b->at; });
+    return isKnown ? countMoments(crashes) < neededForAnsweredTraits : answered && *answered > quarantinedAt;
+}
+
+void crash_evidence::addRecent(crash_report &evidence, time_point now) const
+{
+    std::size_t requests = 0;
+    for (const auto &[key, entry] : m_crashes) {
+        const bool fits = evidence.crashes.size() < maxTold && requests + entry.requests.size() <= maxToldRequests;
+        if (now - entry.learntAt < tellingTime && fits) {
+            requests += entry.requests.size();
+            evidence.crashes.push_back({key.first, key.second, now - entry.at, entry.requests});
+        }
+    }
+    for (const auto &[trait, lostAt] : m_lostTraits) {
+        const auto it = m_answers.find(trait);
+        if (it != m_answers.end() && now - it->second.toldAt < tellingTime && evidence.answered.size() < maxTold) {
+            evidence.answered.push_back({trait, now - it->second.at});
+        }
+    }
+}
+
+void crash_evidence::tick(time_point now)
+{
+    if (std::erase_if(m_crashes, [&](const auto &item) { return now - item.second.at > memoryTime; }) == 0) {
+        return;
+    }
+    m_lostTraits.clear();
+    for (const auto &[key, entry] : m_crashes) {
+        for (const auto &request : entry.requests) {
+            for (const auto &trait : request) {
+                auto &lostAt = m_lostTraits[trait];
+                lostAt = std::max(lostAt, entry.at);
+            }
+        }
+    }
+}
+
+} // namespace plantainpoint
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -248,6 +248,14 @@
     }
 }
 
+void endpoint_directory::onCrash(const endpoint_crash &crash, time_point now)
+{
+    auto *const entry = find(crash.endpoint);
+    if (entry != nullptr && entry->info.startedAt == crash.startedAt && entry->downUntil <= now && crash.age < maxDownTime) {
+        entry->onUnreachable(now);
+    }
+}
+
 std::vector<endpoint_outcomes> endpoint_directory::takeOutcomes()
 {
     std::vector<endpoint_outcomes> out;
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -108,6 +108,8 @@
     std::vector<endpoint_name> notAccepting(const service_name &service, time_point now) const;
     // Returns the endpoints that were ordered to change their role.
     std::vector<endpoint_name> changingRole(time_point now) const;
+    // Avoids an endpoint that ended lately, as another VM has seen.
+    void onCrash(const endpoint_crash &crash, time_point now);
     // Marks endpoints that another VM has ordered to change their role.
     void onRoleChange(const std::vector<endpoint_name> &names, time_point now);
     std::size_t size() const { return m_entries.size(); }
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -278,7 +278,8 @@
     if (!m_sentHeartbeats.empty()) {
         const auto &last = *m_sentHeartbeats.back().content;
         const bool unchanged = last.loads == report.loads && last.waiting == report.waiting && last.changingRole == report.changingRole
-                               && last.usage == report.usage && last.leaving == m_leaving && last.follows == m_follows && receivers == m_lastReceivers;
+                               && last.usage == report.usage && last.leaving == m_leaving && report.evidence.crashes.empty() && report.evidence.answered.empty()
+                               && last.follows == m_follows && receivers == m_lastReceivers;
         if (unchanged && now - m_lastHeartbeatAt < idleHeartbeatInterval) {
             return;
         }
@@ -314,7 +315,8 @@
                                                                                     .waiting = report.waiting,
                                                                                     .changingRole = report.changingRole,
                                                                                     .usage = report.usage,
-                                                                                    .outcomes = report.outcomes});
+                                                                                    .outcomes = report.outcomes,
+                                                                                    .evidence = report.evidence});
     m_sentHeartbeats.push_back({m_heartbeatSequence, now, heartbeatMessage});
     if (m_sentHeartbeats.size() > maxSentHeartbeats) {
         m_sentHeartbeats.pop_front();
@@ -399,7 +401,8 @@
                                                                  .changesFrom = report.changesFrom,
                                                                  .changes = report.changes,
                                                                  .candidates = withLoads ? m_members.candidates(now) : std::vector<fleet_member>{},
-                                                                 .hasLoads = withLoads});
+                                                                 .hasLoads = withLoads,
+                                                                 .evidence = report.evidence});
     if (!summary->hasUsage()) {
         return summary;
     }
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -33,6 +33,7 @@
     std::vector<endpoint_name> changingRole;
     std::vector<account_usage> usage;
     std::vector<endpoint_outcomes> outcomes;
+    crash_report evidence;
 };
 
 // Work placed for another VM.
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace plantainpoint {
@@ -25,6 +26,8 @@
 // Fraction of the time to the deadline. A caller that is refused later cannot retry in time.
 constexpr double maxWaitFraction = 0.6;
 
+constexpr std::string_view quarantineDetail = "requests like this one have crashed endpoints";
+
 // Spreads the returns of refused callers over a further half of the time.
 duration addJitter(duration base, std::string_view id)
 {
@@ -135,12 +138,37 @@
 // Refuses a request that has an entry. Its units go back to the account.
 void relay_requests::refuseOverLimit(relay_entry &entry, duration wait, std::string_view detail)
 {
-    m_components.limiter.refund(entry.account->name, entry.units);
-    ++m_components.metrics.failures[failure::RateExceeded];
     const auto text = "account " + entry.account->name.value + " is over its limit: " + std::string(detail);
-    m_components.commands.push_back(
-        answer_failure{entry.request.caller, {}, failure::RateExceeded, outcome::NotRun, text, addJitter(wait, entry.request.payload->id)});
-    finish(entry, std::string(nameOf(failure::RateExceeded)) + " detail=\"" + text + '"', entryOf(failure::RateExceeded).httpStatus);
+    failRequest(entry, failure::RateExceeded, outcome::NotRun, text, addJitter(wait, entry.request.payload->id));
+}
+
+// Refuses a new request that crashes endpoints.
+bool relay_requests::refuseQuarantined(const relay_entry &entry)
+{
+    const auto now = m_components.clock.now();
+    if (!m_components.quarantine.isActive(now)) {
+        return false;
+    }
+    const auto left = m_components.quarantine.timeLeft(traitsOf(entry), now);
+    if (left) {
+        refuse(entry.request.caller, *entry.request.payload, failure::Quarantined, *left, quarantineDetail);
+    }
+    return left.has_value();
+}
+
+void relay_requests::refuseQuarantined()
+{
+    const auto now = m_components.clock.now();
+    std::vector<std::pair<caller_id, duration>> found;
+    for (const auto &[caller, entry] : m_entries) {
+        const bool isAnswered = entry->attempt && entry->attempt->firstEventAt;
+        if (const auto left = m_components.quarantine.timeLeft(traitsOf(*entry), now); left && !isAnswered) {
+            found.emplace_back(caller, *left);
+        }
+    }
+    for (const auto &[caller, left] : found) {
+        failRequest(*m_entries.at(caller), failure::Quarantined, outcome::NotRun, quarantineDetail, left);
+    }
 }
 
 void relay_requests::on(relay_request request)
@@ -167,8 +195,10 @@
     entry->arrivedAt = m_components.clock.now();
     entry->deadline = entry->arrivedAt + std::min<duration>(request.timeToDeadline, route->timeout);
     entry->lastEventId = request.resumeAfter;
+    std::transform(request.parts.begin(), request.parts.end(), std::back_inserter(entry->partTraits), traitOf);
+    entry->partTraits = sortedTraits(std::move(entry->partTraits));
     entry->request = std::move(request);
-    if (!admit(*entry)) {
+    if (refuseQuarantined(*entry) || !admit(*entry)) {
         return;
     }
     auto &stored = *entry;
@@ -353,7 +383,7 @@
     return counts;
 }
 
-void relay_requests::failRequest(relay_entry &entry, failure reason, outcome result, std::string_view detail)
+void relay_requests::failRequest(relay_entry &entry, failure reason, outcome result, std::string_view detail, std::optional<duration> retryAfter)
 {
     const auto caller = entry.request.caller;
     if (entry.headSent) {
@@ -364,17 +394,18 @@
         reason = failure::EndpointFailed;
         result = outcome::Unknown;
     }
-    std::optional<duration> retryAfter;
-    if (result == outcome::NotRun) {
+    if (result == outcome::NotRun && !retryAfter) {
         auto base = reason == failure::NoEndpoint ? noEndpointRetry : shortestOverloadRetry;
         // The objective is missed already. A later retry meets a shorter queue.
         if (entry.isStream() && reason == failure::Overloaded) {
             base = std::max(base, std::min<duration>(entry.route->objective * overloadRetryFactor, (entry.deadline - m_components.clock.now()) / 4));
         }
         retryAfter = addJitter(base, entry.request.payload->id);
-        if (entry.account != nullptr) {
-            m_components.limiter.refund(entry.account->name, entry.units);
-        }
+    }
+    if (result != outcome::NotRun) {
+        retryAfter.reset();
+    } else if (entry.account != nullptr) {
+        m_components.limiter.refund(entry.account->name, entry.units);
     }
     ++m_components.metrics.failures[reason];
     m_components.commands.push_back(answer_failure{caller, {}, reason, result, std::string(detail), retryAfter});
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -2,6 +2,7 @@
 #include "relay_requests.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantainpoint {
 
@@ -17,6 +18,8 @@
 constexpr duration minFailoverGap = milliseconds{700};
 // A stream may not be worked on by its former endpoint 400 ms after another one has gone on with it.
 constexpr duration handoverTime = milliseconds{300};
+// An endpoint that has written an answer for this time is not ended by its request.
+constexpr duration soundAnswerTime = milliseconds{500};
 
 } // namespace
 
@@ -218,6 +221,53 @@
     }
 }
 
+request_traits relay_requests::traitsOf(const relay_entry &entry)
+{
+    auto traits = entry.partTraits;
+    const auto account = entry.account != nullptr ? entry.account->name : account_name{};
+    traits.push_back(contentTrait(contentDigest(*entry.request.payload, account)));
+    return sortedTraits(std::move(traits));
+}
+
+// Has the endpoint checked that broke off the answer: if it has ended, the requests that it was beginning to answer may have caused that.
+void relay_requests::recordLostAnswer(const relay_entry &entry, const relay_attempt &attempt, reply_outcome replyOutcome)
+{
+    auto *const endpoint = m_components.endpoints.find(attempt.endpoint);
+    if (endpoint == nullptr || replyOutcome != reply_outcome::Broken) {
+        return;
+    }
+    const auto now = m_components.clock.now();
+    const bool isSuspect = !attempt.firstEventAt || now - *attempt.firstEventAt < soundAnswerTime;
+    if (m_components.quarantine.onLost(endpoint->info, isSuspect ? traitsOf(entry) : request_traits{}, now)) {
+        m_components.commands.push_back(check_endpoint{endpoint->info.name, endpoint->info.address});
+    }
+}
+
+void relay_requests::recordAnswer(const relay_entry &entry)
+{
+    auto &quarantine = m_components.quarantine;
+    quarantine.onAnswered(quarantine.knowsCrashes() ? traitsOf(entry) : entry.partTraits, m_components.clock.now());
+}
+
+// Returns whether the request may have crashed an endpoint, so that no other one should get it from here.
+bool relay_requests::isSuspicious(const relay_entry &entry) const
+{
+    return m_components.quarantine.knowsCrashes() && m_components.quarantine.isSuspicious(traitsOf(entry));
+}
+
+void relay_requests::on(const endpoint_checked &checked)
+{
+    const auto now = m_components.clock.now();
+    if (!m_components.quarantine.onChecked(checked, now)) {
+        return;
+    }
+    ++m_components.metrics.endpointCrashes;
+    m_components.logMessage(severity::Warning, log_component::Monitor, "endpoint=" + checked.endpoint.value + " has ended while it was answering");
+    if (auto *const endpoint = m_components.endpoints.find(checked.endpoint)) {
+        endpoint->onUnreachable(now);
+    }
+}
+
 bool relay_requests::spendRetry(const relay_entry &entry)
 {
     if (!budgetOf(entry.service).spend()) {
@@ -327,6 +377,10 @@
         m_components.placement.recordStartDelay(now - *entry.placedAt - readingTime(entry.request.tokens->prompt, m_components.speeds.prefillTokensPerMs));
     }
     entry.firstEventAt = entry.firstEventAt.value_or(now);
+    entry.attempt->firstEventAt = entry.attempt->firstEventAt.value_or(now);
+    if (now - *entry.attempt->firstEventAt >= soundAnswerTime && !std::exchange(entry.answerRecorded, true)) {
+        recordAnswer(entry);
+    }
     entry.lastPartAt = now;
     if (entry.attempt->failoverAt) {
         entry.attempt->failoverAt = now + std::max<duration>(entry.route->gapObjective * gapFactor, minFailoverGap);
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -52,6 +52,7 @@
     void on(const shutdown_requested &message);
     void on(const order_log_read &read) { components.planner.on(read, components.clock.now(), components.commands); }
     void on(const order_appended &appended) { components.planner.on(appended, components.endpoints, components.clock.now(), components.commands); }
+    void on(const quarantine_read &read) { components.quarantine.onStored(read.quarantined, components.clock.now()); }
     void on(const role_order_answered &answer) { components.planner.on(answer, components.endpoints, components.clock.now(), components.commands); }
     template<class Message>
     void on(Message message)
@@ -69,6 +70,8 @@
     void exchangeFleetMessages(time_point now);
     void readDirectory(time_point now);
     directory_role directoryRole(time_point now) const;
+    void applyQuarantine(time_point now);
+    void storeQuarantine(time_point now);
     void planRoles(time_point now);
     void stopWhenIdle(time_point now);
 
@@ -148,6 +151,10 @@
     const auto now = components.clock.now();
     ++components.metrics.heartbeatsReceived;
     components.limiter.debit(arrival.admitted, now);
+    components.quarantine.onEvidence(message.evidence, now);
+    for (const auto &crash : message.evidence.crashes) {
+        components.endpoints.onCrash(crash, now);
+    }
     if (arrival.fromNewVm) {
         components.logMessage(severity::Info, log_component::Member, "vm=" + message.from.vm.value + " heard address=" + message.address);
     }
@@ -264,7 +271,8 @@
                       .waiting = requests.waitingByService(),
                       .changingRole = components.planner.ordered(components.endpoints, now),
                       .usage = components.limiter.usage(),
-                      .outcomes = components.endpoints.takeOutcomes()};
+                      .outcomes = components.endpoints.takeOutcomes(),
+                      .evidence = components.quarantine.evidence(now)};
     if (now - lastChangeAt < changesRepeatTime) {
         result.changesFrom = directoryState.changesFrom;
         result.changes = directoryState.changes;
@@ -333,6 +341,35 @@
     }
 }
 
+// Logs what has been quarantined or released, and ends requests that wait with quarantined requests.
+void relay_core::state::applyQuarantine(time_point now)
+{
+    bool isNew = false;
+    for (const auto &change : components.quarantine.update(now)) {
+        isNew = isNew || !change.released;
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(change.left).count();
+        components.logMessage(severity::Warning,
+                              log_component::Monitor,
+                              "request traits=" + traitsText(change.traits) + (change.released ? " released" : " quarantined for_s=" + std::to_string(seconds))
+                                  + " crashes=" + std::to_string(change.crashes));
+    }
+    if (isNew) {
+        requests.refuseQuarantined();
+    }
+}
+
+// One VM stores the quarantined requests. They outlast the loss of all VMs, and VMs that hear no other one read them.
+void relay_core::state::storeQuarantine(time_point now)
+{
+    components.quarantine.tick(now);
+    if (!components.fleet.leads(now)) {
+        return;
+    }
+    for (auto &request : components.quarantine.takeUnstored(now)) {
+        components.commands.push_back(store_quarantine{std::move(request)});
+    }
+}
+
 void relay_core::state::planRoles(time_point now)
 {
     if (components.routes && components.endpoints.known() && !components.shuttingDown) {
@@ -371,6 +408,7 @@
         tick();
     }
     std::visit([this](auto &&content) { m_state->on(std::forward<decltype(content)>(content)); }, std::move(message));
+    m_state->applyQuarantine(m_state->components.clock.now());
     // The message may have freed a slot or changed what is known of the endpoints.
     m_state->requests.placeWaiting();
     m_state->reportChangedWork(m_state->components.clock.now());
@@ -386,6 +424,7 @@
     m_state->exchangeFleetMessages(now);
     m_state->reportChangedWork(now);
     m_state->readDirectory(now);
+    m_state->storeQuarantine(now);
     m_state->planRoles(now);
     m_state->stopWhenIdle(now);
 }
@@ -430,6 +469,12 @@
 {
     const auto &components = m_state->components;
     const auto now = components.clock.now();
+    auto quarantined = nlohmann::json::array();
+    for (const auto &request : components.quarantine.active(now)) {
+        quarantined.push_back({{"traits", traitsText(request.traits)},
+                               {"crashes", request.crashes},
+                               {"left_s", std::chrono::duration_cast<std::chrono::seconds>(request.left).count()}});
+    }
     return {{"vm", components.settings.self.vm.value},
             {"config_version", configVersion()},
             {"directory_position", components.endpoints.position()},
@@ -442,6 +487,7 @@
             {"directory_proof_age_ms", proofAgeOf(m_state->follower, now)},
             {"open_requests", m_state->requests.open()},
             {"waiting_requests", m_state->requests.waiting()},
+            {"quarantined_requests", std::move(quarantined)},
             {"ready", ready()}};
 }
 
@@ -455,6 +501,7 @@
     result["directory_reachable"] = m_state->components.endpoints.reachable();
     result["vms_heard"] = m_state->components.fleet.heard(now);
     result["vms"] = m_state->components.fleet.members(now);
+    result["quarantined_requests"] = m_state->components.quarantine.active(now).size();
     result["hub"] = m_state->components.fleet.isHub();
     return result;
 }
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -21,6 +21,7 @@
             {"asks", asks},
             {"asks_unanswered", asksUnanswered},
             {"asks_answered", asksAnswered},
+            {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
             {"beats_sent", heartbeatsSent},
             {"beats_received", heartbeatsReceived},
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "request_content.hpp"
+#include "request_traits.hpp"
 
 namespace plantainpoint {
 
@@ -90,6 +90,9 @@
     }
     // A failure that the endpoint itself answers is the result of the request, as another endpoint would give the same one.
     recordAttemptOutcome(*entry, succeeded);
+    if (isSuccess(reply.status)) {
+        recordAnswer(*entry);
+    }
     closeAttempt(*entry);
     if (entry->headSent) {
         if (!returnToOverdueAttempt(*entry)) {
@@ -136,6 +139,7 @@
             m_components.commands.push_back(answer_stream_bytes{entry->request.caller, rest});
         }
         m_components.commands.push_back(answer_stream_end{entry->request.caller});
+        recordAnswer(*entry);
         recordHoldTime(*entry);
         finish(*entry, "streamed", 200);
         return;
@@ -146,6 +150,7 @@
     }
     if (entry->attempt->kind == dispatch_kind::Prefill) {
         recordAttemptOutcome(*entry, false);
+        recordLostAnswer(*entry, *entry->attempt, message.end);
         closeAttempt(*entry);
         onPrefillFailed(*entry);
     } else if (message.end == reply_outcome::NotSent) {
@@ -245,6 +250,7 @@
         --entry.runs;
     } else {
         logLost(entry, *entry.overdueAttempt, replyOutcome);
+        recordLostAnswer(entry, *entry.overdueAttempt, replyOutcome);
     }
     close(entry.overdueAttempt);
     scheduleWakeup(entry);
@@ -255,9 +261,10 @@
 {
     recordAttemptOutcome(entry, false);
     logLost(entry, *entry.attempt, replyOutcome);
+    recordLostAnswer(entry, *entry.attempt, replyOutcome);
     entry.triedEndpoints.insert(entry.attempt->endpoint);
     closeAttempt(entry);
-    const bool mayRepeat = entry.canRepeat() && entry.runs < entry.route->attempts && spendRetry(entry);
+    const bool mayRepeat = entry.canRepeat() && entry.runs < entry.route->attempts && !isSuspicious(entry) && spendRetry(entry);
     if ((mayRepeat && retryElsewhere(entry)) || returnToOverdueAttempt(entry)) {
         return;
     }
@@ -334,7 +341,8 @@
     const auto name = entry.attempt->endpoint;
     const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
     entry.attempt->failoverAt.reset();
-    if (!prefill && !(entry.runs < entry.route->attempts && canPlaceElsewhere(entry) && spendRetry(entry))) {
+    const bool mayRepeat = entry.runs < entry.route->attempts && !isSuspicious(entry);
+    if (!prefill && !(mayRepeat && canPlaceElsewhere(entry) && spendRetry(entry))) {
         scheduleWakeup(entry);
         return;
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -18,6 +18,7 @@
 #include "relay_machine.hpp"
 #include "relay_metrics.hpp"
 #include "relay_placement.hpp"
+#include "request_quarantine.hpp"
 #include "retry_budget.hpp"
 #include "role_planner.hpp"
 #include "route_table.hpp"
@@ -42,6 +43,7 @@
     endpoint_directory endpoints;
     fleet_view fleet;
     fleet_limiter limiter;
+    request_quarantine quarantine;
     role_planner planner;
     placer placement;
     relay_metrics metrics;
@@ -60,6 +62,7 @@
     std::optional<answer_framing> framing; // Set when a stream begins.
     event_splitter splitter;
     std::uint64_t events = 0; // Whole events of the stream, without comments.
+    std::optional<time_point> firstEventAt;
 };
 
 // An ask for a place that the hub has not granted yet.
@@ -77,6 +80,8 @@
     const relay_route *route = nullptr;
     const relay_account *account = nullptr; // It is null on an open route without a key.
     service_name service;
+    request_traits partTraits; // Traits of the parts of its prompt, sorted.
+    bool answerRecorded = false; // An endpoint has written on it for a while, and this has been recorded.
     double units = 0; // Units that were taken from the account's limit.
     bool limitChecked = false; // By a VM that knows the admissions of the others.
     time_point arrivedAt{};
@@ -129,7 +134,10 @@
     void on(const relay_attempt_ended &message);
     void on(const placement_ask &ask);
     void on(const placement_grant &grant);
+    void on(const endpoint_checked &checked);
 
+    // Ends the requests that are quarantined and that no endpoint has begun to answer.
+    void refuseQuarantined();
     // Places waiting requests after a change of the endpoints or of their load.
     void placeWaiting();
     // Acts on deadlines and on attempts that are overdue.
@@ -150,6 +158,7 @@
     bool admit(relay_entry &entry);
     bool admitAlone(relay_entry &entry);
     void refuseOverLimit(relay_entry &entry, duration wait, std::string_view detail);
+    bool refuseQuarantined(const relay_entry &entry);
     void refuse(caller_id caller, const relay_payload &payload, failure reason, std::optional<duration> retryAfter, std::string_view detail);
 
     // Placement.
@@ -187,6 +196,10 @@
     void recordReportedLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
     void recordHoldTime(const relay_entry &entry);
     void recordAttemptOutcome(const relay_entry &entry, bool succeeded);
+    static request_traits traitsOf(const relay_entry &entry);
+    void recordLostAnswer(const relay_entry &entry, const relay_attempt &attempt, reply_outcome replyOutcome);
+    void recordAnswer(const relay_entry &entry);
+    bool isSuspicious(const relay_entry &entry) const;
     retry_budget &budgetOf(const service_name &service);
     bool spendRetry(const relay_entry &entry);
 
@@ -202,7 +215,7 @@
     void failOver(relay_entry &entry);
     bool canPlaceElsewhere(const relay_entry &entry);
     // Answers with a failure. NotRun becomes Unknown when an attempt may have run.
-    void failRequest(relay_entry &entry, failure reason, outcome result, std::string_view detail);
+    void failRequest(relay_entry &entry, failure reason, outcome result, std::string_view detail, std::optional<duration> retryAfter = {});
     void forwardReply(relay_entry &entry, relay_reply reply);
     void abortStream(relay_entry &entry, std::string_view reason);
     struct stream_bytes {
--- a/test/crashing_prompts_test.cpp
+++ b/test/crashing_prompts_test.cpp
@@ -49,6 +49,7 @@
             onSent(dispatch);
             fleet.schedule(time, [this, vm, dispatch] { onArrival(vm, dispatch); });
         };
+        fleet.listens = [this](const endpoint_name &name) { return m_engines.at(name).running; };
         fleet.startAll();
         fleet.runFor(seconds{4});
     }
@@ -130,7 +131,7 @@
         std::size_t count = 0;
         for (const auto &each : fleet.vms) {
             count += static_cast<std::size_t>(
-                std::count_if(each.failures.begin(), each.failures.end(), [](const auto &failed) { return nameOf(failed.reason) == "prompt_quarantined"; }));
+                std::count_if(each.failures.begin(), each.failures.end(), [](const auto &failed) { return nameOf(failed.reason) == "quarantined"; }));
         }
         return count;
     }
--- a/test/crashing_requests_test.cpp
+++ b/test/crashing_requests_test.cpp
@@ -55,6 +55,7 @@
         };
         fleet.onAnswer = [this](caller_id caller) { m_answered.insert(caller); };
         fleet.onFailure = [this](const answer_failure &failed) { onFailure(failed); };
+        fleet.listens = [this](const endpoint_name &name) { return m_endpoints.at(name).running; };
         fleet.startAll();
         fleet.runFor(seconds{4});
     }
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -28,6 +28,7 @@
     };
     std::vector<record> log;
     std::vector<std::shared_ptr<const relay_config>> configs;
+    std::map<std::vector<request_trait>, quarantined_requests> quarantined;
     std::uint64_t reads = 0;
 };
 
@@ -227,6 +228,7 @@
     std::function<void(std::size_t, const relay_dispatch &)> onDispatch;
     std::function<void(caller_id)> onAnswer;
     std::function<void(const answer_failure &)> onFailure;
+    std::function<bool(const endpoint_name &)> listens = [](const endpoint_name &) { return true; };
     std::set<std::pair<std::size_t, std::size_t>> cutLinks; // Messages from the first VM to the second one are lost.
 
 private:
@@ -356,6 +358,23 @@
             load(index, std::max(from.next, to.next), std::max(from.configNext, to.configNext), true);
         });
     }
+    void on(std::size_t index, check_endpoint &command)
+    {
+        schedule(milliseconds{51}, [this, index, name = command.endpoint] { deliver(index, endpoint_checked{name, !listens(name)}); });
+    }
+    void on(std::size_t index, store_quarantine &command)
+    {
+        if (directoryDown || vms[index].cutFromDirectory) {
+            return;
+        }
+        schedule(milliseconds{4}, [this, quarantined = command.quarantined] {
+            if (quarantined.released || quarantined.left <= duration{}) {
+                directory.quarantined.erase(quarantined.traits);
+            } else {
+                directory.quarantined[quarantined.traits] = quarantined;
+            }
+        });
+    }
     template<class Command>
     void on(std::size_t /*index*/, Command & /*command*/)
     {
@@ -398,6 +417,13 @@
             applyConfig(index, directory.configs.size());
             apply(index, offsets, directory.log.size(), false);
         }
+        if (succeeded) {
+            quarantine_read read;
+            for (const auto &[traits, quarantined] : directory.quarantined) {
+                read.quarantined.push_back(quarantined);
+            }
+            each.core->handle(std::move(read));
+        }
         each.core->handle(directory_read_finished{succeeded});
         collect(index);
     }
