Place a stream that broke off before new requests

A stream that has begun now waits from the moment at which it joins the queue and is placed first. streamThatBreaksOffAfterASilenceWaitsForAPlace and brokenStreamIsPlacedBeforeNewRequests, written by the reviewer, fail before (3 checks).

--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -78,8 +78,8 @@
     return now + needed > request.arrivedAt + request.objective;
 }
 
-// Places requests that can still meet their objective first, the newest before the others: an overload then makes some of them late
-// instead of delaying each by a little. Late requests follow in the order of their arrival.
+// Places streams that have broken off first. Requests that can still meet their objective follow, the newest before the others: an overload then makes
+// some of them late instead of delaying each by a little. Late requests come last, in the order of their arrival.
 void placer::placeWaiting(time_point now, const place_sink &apply)
 {
     for (auto &[service, queue] : m_waiting) {
@@ -89,11 +89,13 @@
         // The caller has left, or its VM has decided by itself.
         std::erase_if(queue, [&](const auto &queued) { return !queued.owner.isLocal() && now >= queued.latest; });
         std::vector<place_owner> order;
+        std::vector<place_owner> inTime;
         std::vector<place_owner> late;
         for (const auto &queued : queue) {
-            (missesObjective(queued, now) ? late : order).push_back(queued.owner);
+            auto &group = queued.begun ? order : missesObjective(queued, now) ? late : inTime;
+            group.push_back(queued.owner);
         }
-        std::reverse(order.begin(), order.end());
+        order.insert(order.end(), inTime.rbegin(), inTime.rend());
         order.insert(order.end(), late.begin(), late.end());
         // The first request that finds no place ends the round, so that smaller requests behind it do not starve large ones.
         for (const auto &owner : order) {
--- a/src/placer.hpp
+++ b/src/placer.hpp
@@ -36,6 +36,7 @@
     std::optional<engine_profile> engine; // Set for a model request.
     std::optional<token_count> tokens;
     bool mayPrefill = false; // A separate prefill is allowed.
+    bool begun = false; // The caller has a part of its answer.
     std::int32_t priority = 5; // Zero is the most urgent priority.
     time_point arrivedAt{};
     duration objective{};
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -242,6 +242,7 @@
             .tokens = entry.request.tokens,
             // A request gets only one separate prefill, as further ones would count as repeats.
             .mayPrefill = !entry.prefillTried && !entry.headSent,
+            .begun = entry.headSent,
             .priority = entry.account != nullptr && entry.account->priority ? *entry.account->priority : entry.route->priority,
             .arrivedAt = entry.arrivedAt,
             .objective = entry.route->objective,
@@ -316,6 +317,7 @@
         failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is known");
         return;
     }
+    entry.queuedAt = now;
     if (!entry.headSent && askHub(entry)) {
         return;
     }
@@ -358,6 +360,13 @@
     return entry.firstEventAt ? entry.lastPartAt : entry.arrivedAt;
 }
 
+// Returns the time until which a request waits for a place. A stream that has broken off has no use for an early refusal and waits from that moment on.
+time_point relay_requests::waitEndsAt(const relay_entry &entry) const
+{
+    const auto since = entry.headSent ? entry.queuedAt : entry.arrivedAt;
+    return since + std::chrono::duration_cast<duration>((callerDeadlineOf(entry) - since) * maxWaitFraction);
+}
+
 // Returns the time at which the caller gives up unless more of the answer arrives.
 time_point relay_requests::callerDeadlineOf(const relay_entry &entry) const
 {
@@ -417,8 +426,7 @@
 {
     auto wakeupTime = entry.deadline;
     if (entry.machine.stage() == relay_stage::Waiting) {
-        const auto waitStart = waitingSince(entry);
-        wakeupTime = std::min(wakeupTime, waitStart + std::chrono::duration_cast<duration>((callerDeadlineOf(entry) - waitStart) * maxWaitFraction));
+        wakeupTime = std::min(wakeupTime, waitEndsAt(entry));
     }
     if (entry.attempt && entry.attempt->failoverAt) {
         wakeupTime = std::min(wakeupTime, *entry.attempt->failoverAt);
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -86,6 +86,7 @@
     bool limitChecked = false; // By a VM that knows the admissions of the others.
     time_point arrivedAt{};
     time_point deadline{};
+    time_point queuedAt{}; // Begin of the last wait for a place.
     relay_machine machine;
     std::optional<open_ask> ask;
     std::optional<relay_attempt> attempt;
@@ -174,6 +175,7 @@
     void grant(const placement_request &request, const model_placement &placement);
     void answerAsk(const place_owner &owner, placement_grant answer);
     static time_point waitingSince(const relay_entry &entry);
+    time_point waitEndsAt(const relay_entry &entry) const;
     time_point callerDeadlineOf(const relay_entry &entry) const;
     time_point stalledAt(const relay_entry &entry) const;
     void removeFromQueue(const relay_entry &entry);
