Leave a silent endpoint only for one that sends an event

Change: the first whole event decides which of the two endpoints answers, and the head is held until then. An overdue attempt looks for room every 100 ms, within the bound on dispatches, and a request is at two endpoints at most. A retry that is not sent is not paid for. A prefill result belongs to its attempt, so that one of a refused attempt is used or released. A silent prefill is given up only if another endpoint can read the prompt, or when the request may not wait any longer.

--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -59,10 +59,10 @@
         ++m_components.metrics.dispatches;
         entry.machine.apply(relay_event::sent{});
     }
+    entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, failoverTime(entry, kind, expected)};
     if (kind == dispatch_kind::Decode) {
-        entry.sentSource = std::exchange(entry.source, std::nullopt);
+        entry.attempt->source = std::exchange(entry.source, std::nullopt);
     }
-    entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, failoverTime(entry, kind, expected)};
     entry.placedAt = entry.placedAt.value_or(now);
     const bool repeated = !entry.usedEndpoints.insert(endpoint.info.name).second;
     entry.lastEndpoint = endpoint.info.name;
@@ -77,7 +77,7 @@
                                                    .priority = account != nullptr && account->priority ? *account->priority : entry.route->priority,
                                                    .timeLeft = entry.deadline - now,
                                                    .streamed = entry.isStream() && kind == dispatch_kind::Decode,
-                                                   .source = kind == dispatch_kind::Decode ? entry.sentSource : std::nullopt,
+                                                   .source = entry.attempt->source,
                                                    .resumeAfter = entry.lastEventId,
                                                    .repeated = repeated});
 }
@@ -147,17 +147,27 @@
     if (entry.runs < entry.route->attempts) {
         entry.attempt->failoverAt = m_components.clock.now() + minFailoverGap;
     }
+    forwardHead(entry);
     m_components.logMessage(
         severity::Info, log_component::Place, "request=" + entry.request.payload->id + " stays with overdue attempt endpoint=" + entry.attempt->endpoint.value);
     scheduleWakeup(entry);
     return true;
 }
 
-// Returns the time at which a stream leaves its silent endpoint, unless the endpoint that is to go on refuses the stream before.
+// Returns the time at which a stream leaves its silent endpoint although the other one, which has begun to answer, has sent no event yet.
 std::optional<time_point> relay_requests::overdueAttemptEndsAt(const relay_entry &entry)
 {
-    const bool isSent = entry.overdueAttempt && entry.attempt && entry.attempt->kind == dispatch_kind::Decode;
-    return isSent && entry.isStream() ? std::optional(entry.attempt->sentAt + handoverTime) : std::nullopt;
+    const bool hasBegun = entry.overdueAttempt && entry.attempt && entry.attempt->headAt;
+    return hasBegun ? std::optional(*entry.attempt->headAt + handoverTime) : std::nullopt;
+}
+
+// Passes the head of the answer on. A resumed stream keeps the head of its first endpoint.
+void relay_requests::forwardHead(relay_entry &entry)
+{
+    auto head = std::exchange(entry.attempt->heldHead, std::nullopt);
+    if (head && !std::exchange(entry.headSent, true)) {
+        m_components.commands.push_back(answer_stream_head{entry.request.caller, head->status, std::move(head->headers)});
+    }
 }
 
 void relay_requests::releaseReservation(relay_entry &entry)
@@ -178,18 +188,22 @@
     }
 }
 
-// Keeps the prefill result for another attempt: a decode endpoint that ran nothing has not fetched it.
-void relay_requests::recoverSource(relay_entry &entry)
+// Keeps the prefill result of an attempt for another one: a decode endpoint that ran nothing has not fetched it.
+void relay_requests::recoverSource(relay_entry &entry, std::optional<prefill_source> source)
 {
     const auto *const service = entry.table->service(entry.service);
     const auto lifetime = service != nullptr && service->engine ? service->engine->handleLifetime : std::chrono::milliseconds{0};
     // The fetch has to begin before the result expires.
     constexpr std::int64_t usablePercent = 70;
     const bool usable = m_components.clock.now() - entry.prefilledAt < lifetime * usablePercent / 100;
-    if (usable && !entry.headSent) {
-        entry.source = std::exchange(entry.sentSource, std::nullopt);
+    if (!source || !usable) {
+        return;
+    }
+    if (!entry.headSent && !entry.attempt) {
+        entry.source = std::move(source);
+    } else {
+        m_components.commands.push_back(release_prefill{std::move(*source)});
     }
-    entry.sentSource.reset();
 }
 
 // Avoids a full endpoint for a moment. Its report is newer than the heartbeats of the other VMs.
@@ -278,6 +292,13 @@
     return true;
 }
 
+// Takes a retry back that was paid for and not sent.
+void relay_requests::refundRetry(const relay_entry &entry)
+{
+    budgetOf(entry.service).refund();
+    --m_components.metrics.retries;
+}
+
 void relay_requests::on(prefill_reply reply)
 {
     auto *const entry = findByAttempt(reply.attempt);
@@ -317,14 +338,19 @@
     if (entry == nullptr) {
         return;
     }
-    keepAttempt(*entry, head.attempt);
-    recordReportedLoad(entry->attempt->endpoint, head.load);
-    entry->attempt->framing = head.framing;
-    entry->machine.apply(relay_event::streaming{});
-    // A resumed stream keeps the head of its first endpoint.
-    if (!entry->headSent) {
-        entry->headSent = true;
-        m_components.commands.push_back(answer_stream_head{entry->request.caller, head.status, std::move(head.headers)});
+    auto &attempt = isOverdue(*entry, head.attempt) ? *entry->overdueAttempt : *entry->attempt;
+    recordReportedLoad(attempt.endpoint, head.load);
+    attempt.framing = head.framing;
+    attempt.headAt = m_components.clock.now();
+    attempt.heldHead = std::move(head);
+    if (entry->machine.stage() == relay_stage::Forwarded) {
+        entry->machine.apply(relay_event::streaming{});
+    }
+    // While two endpoints have the request, the first event decides which of them answers it.
+    if (!entry->overdueAttempt) {
+        forwardHead(*entry);
+    } else {
+        scheduleWakeup(*entry);
     }
 }
 
@@ -361,6 +387,7 @@
     // Only whole events are progress, so that an endpoint that sends a byte now and then counts as stalled.
     if (events > 0) {
         keepAttempt(*entry, part.attempt);
+        forwardHead(*entry);
         onStreamProgress(*entry, now);
     }
     if (!bytes.empty()) {
@@ -382,7 +409,7 @@
         recordAnswer(entry);
     }
     entry.lastPartAt = now;
-    if (entry.attempt->failoverAt) {
+    if (entry.canRepeat() && entry.runs < entry.route->attempts) {
         entry.attempt->failoverAt = now + std::max<duration>(entry.route->gapObjective * gapFactor, minFailoverGap);
     }
     scheduleWakeup(entry);
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -13,6 +13,7 @@
 
 constexpr duration fullBackoff = milliseconds{40}; // An endpoint that refused work frees a slot in about this time.
 constexpr std::int32_t extraDispatches = 2; // Extra dispatches after refusals that ran nothing.
+constexpr duration failoverCheckInterval = milliseconds{100}; // Pause between two looks for another endpoint for an overdue attempt.
 constexpr int firstServerError = 500;
 
 std::string tokensText(const relay_entry &entry)
@@ -134,6 +135,7 @@
     }
     if (complete) {
         keepAttempt(*entry, message.attempt);
+        forwardHead(*entry);
         const auto rest = std::string(entry->route->resumable ? entry->attempt->splitter.rest() : std::string_view{});
         if (!rest.empty()) {
             m_components.commands.push_back(answer_stream_bytes{entry->request.caller, rest});
@@ -167,16 +169,16 @@
     const auto name = entry.attempt->endpoint;
     const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
     recordNotRun(entry, *entry.attempt, reply);
+    auto source = std::move(entry.attempt->source);
     closeAttempt(entry);
     if (prefill) {
         onPrefillFailed(entry);
         return;
     }
     --entry.runs;
-    recoverSource(entry);
+    recoverSource(entry, std::move(source));
     entry.triedEndpoints.insert(name);
-    const bool mayDispatchAgain = entry.dispatches < entry.route->attempts + extraDispatches;
-    if (mayDispatchAgain && spendRetry(entry)) {
+    if (mayDispatchAgain(entry) && spendRetry(entry)) {
         entry.machine.apply(relay_event::requeued{});
         if (place(entry)) {
             scheduleWakeup(entry);
@@ -184,7 +186,9 @@
         }
         // Every other endpoint is full as well. Those that refused may have room by the time the request is placed.
         entry.triedEndpoints.clear();
-        if (!returnToOverdueAttempt(entry)) {
+        if (returnToOverdueAttempt(entry)) {
+            refundRetry(entry);
+        } else {
             enqueueOrRefuse(entry);
         }
         return;
@@ -248,11 +252,13 @@
     if (notRun) {
         recordNotRun(entry, *entry.overdueAttempt, reply);
         --entry.runs;
+        recoverSource(entry, std::move(entry.overdueAttempt->source));
     } else {
         logLost(entry, *entry.overdueAttempt, replyOutcome);
         recordLostAnswer(entry, *entry.overdueAttempt, replyOutcome);
     }
     close(entry.overdueAttempt);
+    forwardHead(entry);
     scheduleWakeup(entry);
 }
 
@@ -265,7 +271,13 @@
     entry.triedEndpoints.insert(entry.attempt->endpoint);
     closeAttempt(entry);
     const bool mayRepeat = entry.canRepeat() && entry.runs < entry.route->attempts && !isSuspicious(entry) && spendRetry(entry);
-    if ((mayRepeat && retryElsewhere(entry)) || returnToOverdueAttempt(entry)) {
+    if (mayRepeat && retryElsewhere(entry)) {
+        return;
+    }
+    if (returnToOverdueAttempt(entry)) {
+        if (mayRepeat) {
+            refundRetry(entry);
+        }
         return;
     }
     if (mayRepeat) {
@@ -325,6 +337,7 @@
             failRequest(entry, failure::Overloaded, outcome::NotRun, "no place in time");
         } else if (const auto endsAt = overdueAttemptEndsAt(entry); endsAt && now >= *endsAt) {
             abort(entry.overdueAttempt);
+            forwardHead(entry);
             scheduleWakeup(entry);
         } else if (entry.attempt && entry.attempt->failoverAt && now >= *entry.attempt->failoverAt) {
             failOver(entry);
@@ -334,18 +347,34 @@
     }
 }
 
+bool relay_requests::mayDispatchAgain(const relay_entry &entry)
+{
+    return entry.dispatches < entry.route->attempts + extraDispatches;
+}
+
+// Returns whether an overdue attempt may be replaced now. A request is at two endpoints at most.
+bool relay_requests::mayFailOver(const relay_entry &entry)
+{
+    if (entry.attempt->kind == dispatch_kind::Prefill) {
+        // A prompt that nobody else can read is left where it is while the request may wait for a place.
+        return canPlaceElsewhere(entry) || m_components.clock.now() >= waitEndsAt(entry);
+    }
+    const bool mayRepeat = !entry.overdueAttempt && entry.runs < entry.route->attempts && mayDispatchAgain(entry) && !isSuspicious(entry);
+    return mayRepeat && budgetOf(entry.service).left() > 0 && canPlaceElsewhere(entry) && spendRetry(entry);
+}
+
 // Tries another endpoint with room for an overdue attempt. The overdue attempt is left when the other one is answered, as a silent endpoint may go on and
 // the other one may refuse. Reading a prompt begins again elsewhere.
 void relay_requests::failOver(relay_entry &entry)
 {
     const auto name = entry.attempt->endpoint;
     const bool prefill = entry.attempt->kind == dispatch_kind::Prefill;
-    entry.attempt->failoverAt.reset();
-    const bool mayRepeat = entry.runs < entry.route->attempts && !isSuspicious(entry);
-    if (!prefill && !(mayRepeat && canPlaceElsewhere(entry) && spendRetry(entry))) {
+    if (!mayFailOver(entry)) {
+        entry.attempt->failoverAt = m_components.clock.now() + failoverCheckInterval;
         scheduleWakeup(entry);
         return;
     }
+    entry.attempt->failoverAt.reset();
     recordAttemptOutcome(entry, false);
     const auto silence = m_components.clock.now() - (entry.attempt->events > 0 ? entry.lastPartAt : entry.attempt->sentAt);
     m_components.logMessage(severity::Info,
@@ -358,9 +387,9 @@
         onPrefillFailed(entry);
         return;
     }
-    abort(entry.overdueAttempt);
     entry.overdueAttempt = std::exchange(entry.attempt, std::nullopt);
     if (!retryElsewhere(entry)) {
+        refundRetry(entry);
         returnToOverdueAttempt(entry);
     }
 }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -60,9 +60,12 @@
     // Time at which the request fails over to another endpoint, if one has room.
     std::optional<time_point> failoverAt;
     std::optional<answer_framing> framing; // Set when a stream begins.
+    std::optional<stream_head> heldHead; // Head of the answer, until the request is certain to stay with this attempt.
+    std::optional<time_point> headAt;
     event_splitter splitter;
     std::uint64_t events = 0; // Whole events of the stream, without comments.
     std::optional<time_point> firstEventAt;
+    std::optional<prefill_source> source; // Prefill result that the endpoint fetches.
 };
 
 // An ask for a place that the hub has not granted yet.
@@ -95,7 +98,6 @@
     std::optional<attempt_number> reservation; // Slot at the decode endpoint while the prefill endpoint reads the prompt.
     endpoint_name reservationEndpoint;
     std::optional<prefill_source> source; // Prefill result that no decode endpoint has fetched.
-    std::optional<prefill_source> sentSource; // Prefill result of the open decode attempt.
     time_point prefilledAt{};
     std::set<endpoint_name> triedEndpoints; // Endpoints that the next attempt avoids.
     std::set<endpoint_name> usedEndpoints; // Endpoints that have had an attempt.
@@ -190,11 +192,12 @@
     void abort(std::optional<relay_attempt> &attempt);
     void keepAttempt(relay_entry &entry, attempt_number number);
     bool returnToOverdueAttempt(relay_entry &entry);
+    void forwardHead(relay_entry &entry);
     static bool isOverdue(const relay_entry &entry, attempt_number number) { return entry.overdueAttempt && entry.overdueAttempt->number == number; }
     static std::optional<time_point> overdueAttemptEndsAt(const relay_entry &entry);
     void releaseReservation(relay_entry &entry);
     void releaseSource(relay_entry &entry);
-    void recoverSource(relay_entry &entry);
+    void recoverSource(relay_entry &entry, std::optional<prefill_source> source);
     void recordReportedLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
     void recordHoldTime(const relay_entry &entry);
     void recordAttemptOutcome(const relay_entry &entry, bool succeeded);
@@ -204,6 +207,7 @@
     bool isSuspicious(const relay_entry &entry) const;
     retry_budget &budgetOf(const service_name &service);
     bool spendRetry(const relay_entry &entry);
+    void refundRetry(const relay_entry &entry);
 
     // Outcomes.
     void onNotRun(relay_entry &entry, const relay_reply *reply);
@@ -214,6 +218,8 @@
     void onOverdueAttemptFailed(relay_entry &entry, reply_outcome replyOutcome, const relay_reply *reply);
     void onPrefillFailed(relay_entry &entry);
     bool retryElsewhere(relay_entry &entry);
+    static bool mayDispatchAgain(const relay_entry &entry);
+    bool mayFailOver(const relay_entry &entry);
     void failOver(relay_entry &entry);
     bool canPlaceElsewhere(const relay_entry &entry);
     // Answers with a failure. NotRun becomes Unknown when an attempt may have run.
--- a/src/retry_budget.hpp
+++ b/src/retry_budget.hpp
@@ -33,6 +33,9 @@
         return true;
     }
 
+    // Returns a retry that was not used.
+    void refund() { m_thousandths = std::min(m_thousandths + thousandthsPerRetry, m_limit); }
+
     std::int64_t left() const { return m_thousandths / thousandthsPerRetry; }
 
 private:
