--- a/src/log_snapshot.cpp
+++ b/src/log_snapshot.cpp
@@ -1,5 +1,6 @@
 // Writes the applied state as bytes and reads it back. The same state always gives the same bytes.
 #include "log_state.hpp"
+#include "plantainpoint/cbor.hpp"
 #include "record_fields.hpp"
 
 namespace plantainpoint {
--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -203,6 +203,7 @@
     BOOST_REQUIRE(requestFor(std::string(readWorkersTarget) + "&part=0&from=1") != nullptr);
     reader.importState("no state");
     reader.importState(encodeState({{"w-1", workerEntry("10.0.0.3:1")}}, 3).substr(0, 20));
+    reader.importState(std::string(1'000'000, '\x81'));
     BOOST_TEST(addresses["w-1"] == "10.0.0.1:1");
 }
 
