--- a/shell/address.cpp
+++ b/shell/address.cpp
@@ -29,4 +29,10 @@
     return boost::asio::ip::tcp::endpoint{address, port};
 }
 
+bool isPeerAddress(std::string_view text)
+{
+    const auto address = parseAddress(text);
+    return address && address->port() != 0;
+}
+
 } // namespace plantainpoint
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -42,7 +42,7 @@
 
 duration placer::expectedWait(const placement_request &request, time_point now) const
 {
-    std::int32_t slots = 1;
+    std::int64_t slots = 1;
     auto holdTime = std::max<duration>(request.holdTime, std::chrono::milliseconds{1});
     for (const auto *candidate : plainCandidates(request.service, now)) {
         slots += candidate->info.slots;
--- a/test/shell_support.hpp
+++ b/test/shell_support.hpp
@@ -53,6 +53,12 @@
         boost::system::error_code ignored;
         boost::asio::write(m_socket, boost::asio::buffer(bytes.data(), bytes.size()), ignored);
     }
+    // Sends what the socket takes at once and returns its size.
+    std::size_t sendSome(std::string_view bytes)
+    {
+        boost::system::error_code ignored;
+        return m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), ignored);
+    }
     // Returns everything received so far.
     const std::string &received()
     {
