--- a/test/odd_records_test.cpp
+++ b/test/odd_records_test.cpp
@@ -266,4 +266,36 @@
     BOOST_TEST(runUntil(io, [&] { return lastState.position == next + 1; }));
 }
 
+// Guards against odd records that nobody learns of, or that fill the log, and against state that passes them on to other VMs.
+BOOST_FIXTURE_TEST_CASE(oddEntriesAreLoggedOnceAndNotPassedOn, store_fixture)
+{
+    const line_logger warnings(severity::Warning, log_format::Text);
+    store_reader other{io, http, options, [this](relay_input message) { receive(std::move(message)); }, warnings};
+    std::ostringstream output;
+    auto *const console = std::cout.rdbuf(output.rdbuf());
+    const auto odd = entryWith("slots", "99999999999");
+    other.importState(encodeState({{"odd", odd}, {"w-1", workerEntry("10.0.0.1:1")}}, 2));
+    for (std::uint64_t position = 2; position < 6; ++position) {
+        const std::deque<worker_change> changes{{position, {"odd", odd}}, {position, {std::string("x\n\xff", 3), odd}}};
+        other.run(import_directory_changes{std::make_shared<const std::string>(encodeChanges(changes)), position + 1});
+    }
+    other.importState(encodeState({{"odd", odd}, {"w-1", workerEntry("10.0.0.1:1")}}, 9));
+    std::cout.rdbuf(console);
+    const auto text = output.str();
+    const auto count = [&](const std::string &part) {
+        int found = 0;
+        for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+            ++found;
+        }
+        return found;
+    };
+    BOOST_TEST(count("key=odd ") == 1, text);
+    BOOST_TEST(count("slots: expected an integer from 0 to 100000") == 1, text);
+    BOOST_TEST(count("key=x?? ") == 1, text);
+    const auto exported = nlohmann::json::from_cbor(other.exportState("config_version=0&workers_from=0"));
+    BOOST_TEST(exported.at("workers").contains("w-1"));
+    BOOST_TEST(!exported.at("workers").contains("odd"));
+    BOOST_TEST(addresses.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
