--- a/test/odd_records_test.cpp
+++ b/test/odd_records_test.cpp
@@ -298,4 +298,46 @@
     BOOST_TEST(addresses.size() == 1);
 }
 
+// Guards against a key that breaks the request for the page behind it, so that the workers are never read.
+BOOST_FIXTURE_TEST_CASE(oddKeysDoNotBreakTheReadOfPages, store_fixture)
+{
+    startReading();
+    const auto page = [](const std::string &key, bool more) {
+        return nlohmann::json{{"end", 3}, {"has_more", more}, {"items", {{{"key", key}, {"value", absl::Base64Escape(workerEntry("10.0.0.1:1"))}}}}}.dump();
+    };
+    serveRequest(newestWorkersTarget, page("a b&part=1#%+\r\n", true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=a%20b%26part%3D1%23%25%2B%0D%0A ", page("", true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after= ", page("w-1", false));
+    BOOST_REQUIRE(requestFor(std::string(readWorkersTarget) + "&part=0&from=3") != nullptr);
+    BOOST_TEST(addresses.size() == 1);
+    BOOST_TEST(addresses["w-1"] == "10.0.0.1:1");
+}
+
+// Guards against a read that never ends because the store repeats a page after an odd key.
+BOOST_FIXTURE_TEST_CASE(pagesThatRepeatEndTheRead, store_fixture)
+{
+    startReading();
+    const auto page =
+        nlohmann::json{{"end", 3}, {"has_more", true}, {"items", {{{"key", "w-1"}, {"value", absl::Base64Escape(workerEntry("10.0.0.1:1"))}}}}}.dump();
+    serveRequest(newestWorkersTarget, page);
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1 ", page);
+    BOOST_REQUIRE(requestFor(std::string(readWorkersTarget) + "&part=0&from=3") != nullptr);
+    BOOST_TEST(addresses["w-1"] == "10.0.0.1:1");
+}
+
+// Guards against a key that is not UTF-8 and makes the whole page unreadable.
+BOOST_FIXTURE_TEST_CASE(keysThatAreNotTextDoNotHideOthers, store_fixture)
+{
+    startReading();
+    const auto value = absl::Base64Escape(workerEntry("10.0.0.1:1"));
+    serveRequest(newestWorkersTarget,
+                 R"({"end":3,"items":[{"key":"odd)"
+                 "\xff\xfe"
+                 R"(","value":")"
+                     + value + R"("},{"key":"w-1","value":")" + value + R"("}]})");
+    BOOST_REQUIRE(requestFor(std::string(readWorkersTarget) + "&part=0&from=3") != nullptr);
+    BOOST_TEST(addresses.size() == 1);
+    BOOST_TEST(addresses["w-1"] == "10.0.0.1:1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
