--- a/test/odd_records_test.cpp
+++ b/test/odd_records_test.cpp
@@ -340,4 +340,40 @@
     BOOST_TEST(addresses["w-1"] == "10.0.0.1:1");
 }
 
+// Guards against a large entry in the changes that each summary carries: a hub cannot send a summary that is longer than a datagram, and its VMs hear
+// nothing more of it.
+BOOST_FIXTURE_TEST_CASE(largeEntriesDoNotOutgrowADatagram, store_fixture)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, newestPage(1, "w-1", workerEntry("10.0.0.1:1")));
+    std::string records;
+    std::uint64_t next = 1;
+    const auto append = [&](const std::string &key, const std::string &address, std::size_t size) {
+        records += encodeKeyedRecord(key, workerEntry(address).insert(1, R"("other":")" + std::string(size, 'x') + R"(",)"));
+        ++next;
+    };
+    for (int i = 0; i < 10; ++i) {
+        append("w-2", "10.0.0.2:" + std::to_string(i + 1), 30'000);
+    }
+    append("w-3", "10.0.0.3:1", 10);
+    serveRequest(std::string(readWorkersTarget) + "&part=0&from=1", logPage(next, 0, records));
+    BOOST_REQUIRE(runUntil(io, [&] { return lastState.lastChange == next; }));
+    BOOST_REQUIRE(lastState.changes != nullptr);
+    fleet_summary summary{.from = {{"vm-1"}, 1}, .address = "127.0.0.1:1"};
+    summary.changes = lastState.changes;
+    BOOST_TEST(encodeSummary(encodeSummaryBody(summary), 1, 1).size() < 30'000);
+    // Changes since the stated position are complete, and those before it can be fetched.
+    const auto changes = decodeChanges(*lastState.changes);
+    BOOST_REQUIRE(changes.ok());
+    BOOST_REQUIRE_EQUAL(changes->size(), next - lastState.changesFrom);
+    BOOST_TEST(changes->back().record.key == "w-3");
+    store_reader other{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
+    other.importState(encodeState({{"w-1", workerEntry("10.0.0.1:1")}}, 1));
+    addresses.clear();
+    other.importState(reader.exportState(other.missingState()));
+    BOOST_TEST(addresses["w-2"] == "10.0.0.2:10");
+    BOOST_TEST(addresses["w-3"] == "10.0.0.3:1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
