Use a new connection for each further attempt at an address

It needed a worker that starts again at its address under a new name while its former entry is still listed, and that writes a refusal twice.

Whether there was an attempt was told by the name of the endpoint, while connections are kept by address. After a refusal by the former name, the request went to the new name over the same connection, where the second copy passed as the refusal of the request that runs.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -394,7 +394,7 @@
     bool streamed = false;
     std::optional<prefill_source> source;
     std::optional<std::uint64_t> resumeAfter;
-    bool repeated = false; // The endpoint has had an attempt of this request before, whose answer may arrive twice.
+    bool repeated = false; // An attempt of this request was sent to the address before. Its answer may arrive twice.
 };
 
 // Closes the connection of an attempt. No more of its answer arrives.
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -61,7 +61,7 @@
     }
     entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, failoverTime(entry, kind, expected)};
     entry.placedAt = entry.placedAt.value_or(now);
-    const bool repeated = !entry.usedEndpoints.insert(endpoint.info.name).second;
+    const bool repeated = !entry.usedAddresses.insert(endpoint.info.address).second;
     entry.lastEndpoint = endpoint.info.name;
     m_attempts.emplace(number, entry.request.caller);
     const auto *const account = entry.account;
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -92,7 +92,7 @@
     std::optional<prefill_source> sentSource; // Prefill result of the open decode attempt.
     time_point prefilledAt{};
     std::set<endpoint_name> triedEndpoints; // Endpoints that the next attempt avoids.
-    std::set<endpoint_name> usedEndpoints; // Endpoints that have had an attempt.
+    std::set<std::string> usedAddresses; // Addresses to which an attempt was sent. Two endpoints have one address when one starts again under a new name.
     endpoint_name lastEndpoint;
     std::int32_t runs = 0; // Dispatches that an endpoint may have run.
     std::int32_t dispatches = 0; // Dispatches other than the first prefill.
