Resume a stream only with a stream of the same media type

An error that the next endpoint answers with status 200, its stamp and another media type was passed on as the rest of the stream.

Cause: a resumed stream was told by status, id and stamp alone.

Change: the media type of the head that the caller has is kept. An attempt with another one is broken off like one whose bytes are no events.

--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -18,6 +18,20 @@
 // A stream may not be worked on by its former endpoint 400 ms after another one has gone on with it.
 constexpr duration handoverTime = milliseconds{300};
 
+// Returns the media type in lower case, without its parameters.
+std::string mediaTypeOf(const std::vector<header> &headers)
+{
+    constexpr std::string_view name = "content-type";
+    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    const auto isNamed = [&](const header &field) {
+        return std::equal(field.name.begin(), field.name.end(), name.begin(), name.end(), [&](char a, char b) { return lower(a) == b; });
+    };
+    const auto found = std::find_if(headers.begin(), headers.end(), isNamed);
+    std::string type = found == headers.end() ? std::string{} : found->value.substr(0, found->value.find_first_of("; \t"));
+    std::transform(type.begin(), type.end(), type.begin(), lower);
+    return type;
+}
+
 } // namespace
 
 std::optional<time_point> relay_requests::failoverTime(const relay_entry &entry, dispatch_kind kind, duration expected) const
@@ -261,12 +275,27 @@
     }
 }
 
+// Ends an attempt whose endpoint sends something else than the stream.
+void relay_requests::breakOff(relay_entry &entry, attempt_number number)
+{
+    m_components.commands.push_back(relay_abort{number});
+    if (isOverdue(entry, number)) {
+        onOverdueAttemptFailed(entry, reply_outcome::Broken, nullptr);
+    } else {
+        onLost(entry, reply_outcome::Broken);
+    }
+}
+
 void relay_requests::on(stream_head head)
 {
     auto *const entry = findByAttempt(head.attempt);
     if (entry == nullptr) {
         return;
     }
+    if (entry->headSent && mediaTypeOf(head.headers) != entry->mediaType) {
+        breakOff(*entry, head.attempt);
+        return;
+    }
     keepAttempt(*entry, head.attempt);
     recordReportedLoad(entry->attempt->endpoint, head.load);
     entry->attempt->framing = head.framing;
@@ -274,6 +303,7 @@
     // A resumed stream keeps the head of its first endpoint.
     if (!entry->headSent) {
         entry->headSent = true;
+        entry->mediaType = mediaTypeOf(head.headers);
         m_components.commands.push_back(answer_stream_head{entry->request.caller, head.status, std::move(head.headers)});
     }
 }
@@ -300,12 +330,7 @@
     }
     const auto [events, bytes] = readEvents(*entry, attempt, part.bytes);
     if (attempt.splitter.isOverlong()) {
-        m_components.commands.push_back(relay_abort{part.attempt});
-        if (overdue) {
-            onOverdueAttemptFailed(*entry, reply_outcome::Broken, nullptr);
-        } else {
-            onLost(*entry, reply_outcome::Broken);
-        }
+        breakOff(*entry, part.attempt);
         return;
     }
     // Only whole events are progress, so that an endpoint that sends a byte now and then counts as stalled.
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -103,6 +103,7 @@
     duration longestGap{}; // Longest pause between two events.
     std::optional<std::uint64_t> lastEventId; // Last event that the caller has.
     bool headSent = false;
+    std::string mediaType; // Of the head that the caller has.
 
     bool isStream() const { return route->policy == repeat_policy::Stream; }
     // Returns whether the request may run once more after an attempt whose outcome is unknown.
@@ -178,6 +179,7 @@
     void close(std::optional<relay_attempt> &attempt);
     void abort(std::optional<relay_attempt> &attempt);
     void keepAttempt(relay_entry &entry, attempt_number number);
+    void breakOff(relay_entry &entry, attempt_number number);
     bool returnToOverdueAttempt(relay_entry &entry);
     static bool isOverdue(const relay_entry &entry, attempt_number number) { return entry.overdueAttempt && entry.overdueAttempt->number == number; }
     static std::optional<time_point> overdueAttemptEndsAt(const relay_entry &entry);
--- a/test/shell_support.hpp
+++ b/test/shell_support.hpp
@@ -68,6 +68,7 @@
             const auto size = m_socket.read_some(boost::asio::buffer(block), error);
             if (error) {
                 m_ended = m_ended || error != boost::asio::error::would_block;
+                m_wasReset = m_wasReset || error == boost::asio::error::connection_reset;
                 return m_received;
             }
             m_received.append(block.data(), size);
@@ -79,12 +80,18 @@
         received();
         return m_ended;
     }
+    bool wasReset()
+    {
+        received();
+        return m_wasReset;
+    }
     void close() { m_socket.close(); }
 
 private:
     tcp::socket m_socket;
     std::string m_received;
     bool m_ended = false;
+    bool m_wasReset = false;
 };
 
 inline const line_logger &quietLogger()
