--- a/test/odd_records_test.cpp
+++ b/test/odd_records_test.cpp
@@ -8,6 +8,7 @@
 #include "address.hpp"
 #include "fleet_codec.hpp"
 #include "http_dialect.hpp"
+#include "plantainpoint/failure.hpp"
 #include "relay_fixture.hpp"
 #include "store_fixture.hpp"
 
@@ -376,4 +377,64 @@
     BOOST_TEST(addresses["w-3"] == "10.0.0.3:1");
 }
 
+// Guards against a number of the configuration that overflows: a timeout beyond all bounds refused every request, or none.
+BOOST_AUTO_TEST_CASE(oddNumbersOfAConfigurationAreLimited)
+{
+    const auto configWith = [](const std::string &field, const std::string &value) {
+        const auto valueOf = [&](const std::string &name, const std::string &sound) { return "\"" + name + "\":" + (name == field ? value : sound); };
+        return R"({"version":7,"routes":[{"host":"shop.example","path_prefix":"/lookup/","kind":"safe",)" + valueOf("timeout_ms", "1000") + ","
+               + valueOf("slo_ms", "100") + "," + valueOf("gap_slo_ms", "100") + "," + valueOf("priority", "1") + "," + valueOf("attempts", "2")
+               + R"(,"split":[{"service":"desk",)" + valueOf("weight", "1") + R"(}]}],"services":[{"name":"desk"},{"name":"llm","engine":{)"
+               + valueOf("slots", "12") + "," + valueOf("kv_tokens", "70000") + "," + valueOf("handle_ttl_s", "0.5") + R"(}}],"limits":{)"
+               + valueOf("header_bytes", "16384") + "," + valueOf("body_bytes", "4194304") + "," + valueOf("idle_ms", "15000")
+               + R"(},"tenants":[{"name":"acme","api_keys":["k-acme"],"unit":"tokens",)" + valueOf("plain_tokens", "1") + "," + valueOf("rate_per_s", "9") + ","
+               + valueOf("burst", "9") + "}]}";
+    };
+    BOOST_REQUIRE(decodeConfiguration(configWith("", "1")).ok());
+    for (const auto *const field : {"timeout_ms",
+                                    "slo_ms",
+                                    "gap_slo_ms",
+                                    "priority",
+                                    "attempts",
+                                    "weight",
+                                    "slots",
+                                    "kv_tokens",
+                                    "handle_ttl_s",
+                                    "header_bytes",
+                                    "body_bytes",
+                                    "idle_ms",
+                                    "plain_tokens",
+                                    "rate_per_s",
+                                    "burst"}) {
+        for (const auto &value : oddValues()) {
+            const auto config = decodeConfiguration(configWith(field, value));
+            if (!config.ok()) {
+                BOOST_TEST((failureOf(config.status()) == failure::InvalidConfiguration));
+                continue;
+            }
+            const auto &route = config->routes.at(0);
+            const auto &account = config->accounts.at(0);
+            BOOST_TEST((route.timeout >= 0ms && route.timeout <= 24h && route.objective >= 0ms && route.objective <= 24h), field << " " << shortened(value));
+            BOOST_TEST((route.gapObjective >= 0ms && route.gapObjective <= 24h && config->bounds.idleTime >= 0ms && config->bounds.idleTime <= 24h));
+            BOOST_TEST((config->services.at(1).engine->handleLifetime >= 0ms && config->services.at(1).engine->handleLifetime <= 24h));
+            BOOST_TEST((config->services.at(1).engine->slots >= 0 && config->services.at(1).engine->kvTokens >= 0), field << " " << shortened(value));
+            BOOST_TEST((route.attempts >= 1 && route.attempts <= 1000 && route.services.at(0).weight >= 0), field << " " << shortened(value));
+            BOOST_TEST((config->bounds.headerSize <= 1'000'000'000 && config->bounds.bodySize <= 1'000'000'000), field << " " << shortened(value));
+            BOOST_TEST((account.rate >= 0 && account.rate <= 1e15 && account.burst >= 0 && account.plainCost >= 0 && account.plainCost <= 1e15));
+            relay_fixture relay;
+            relay.configure(*config);
+            relay.announce({endpointNamed("desk-1", "desk")});
+            relay.sendRequest("/lookup/1");
+            relay.advance(100ms);
+        }
+    }
+    for (const std::string version : {"-1", "1.5", "1e3", "18446744073709551616", "true"}) {
+        BOOST_TEST(!decodeConfiguration(R"({"version":)" + version + R"(,"routes":[],"services":[]})").ok(), version);
+    }
+    for (const auto &name : {std::string("a\\r\\nX-Stage: prefill"), std::string(megabytes, 'n')}) {
+        const auto config = decodeConfiguration(R"({"version":1,"routes":[],"services":[],"tenants":[{"api_keys":[],"name":")" + name + R"("}]})");
+        BOOST_TEST(!config.ok(), shortened(name));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
