--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -100,7 +100,7 @@
     std::optional<prefill_source> source; // Prefill result that no decode endpoint has fetched.
     time_point prefilledAt{};
     std::set<endpoint_name> triedEndpoints; // Endpoints that the next attempt avoids.
-    std::set<endpoint_name> usedEndpoints; // Endpoints that have had an attempt.
+    std::set<std::string> usedAddresses; // Addresses to which an attempt was sent. Two endpoints have one address when one starts again under a new name.
     endpoint_name lastEndpoint;
     std::int32_t runs = 0; // Dispatches that an endpoint may have run.
     std::int32_t dispatches = 0; // Dispatches other than the first prefill.
@@ -111,6 +111,7 @@
     duration longestGap{}; // Longest pause between two events.
     std::optional<std::uint64_t> lastEventId; // Last event that the caller has.
     bool headSent = false;
+    std::string mediaType; // Of the head that the caller has.
 
     bool isStream() const { return route->policy == repeat_policy::Stream; }
     // Returns whether the request may run once more after an attempt whose outcome is unknown.
@@ -191,6 +192,7 @@
     void close(std::optional<relay_attempt> &attempt);
     void abort(std::optional<relay_attempt> &attempt);
     void keepAttempt(relay_entry &entry, attempt_number number);
+    void breakOff(relay_entry &entry, attempt_number number);
     bool returnToOverdueAttempt(relay_entry &entry);
     void forwardHead(relay_entry &entry);
     static bool isOverdue(const relay_entry &entry, attempt_number number) { return entry.overdueAttempt && entry.overdueAttempt->number == number; }
