Give the input of a caller's connection one owner at a time

Cause: while a request is open, a read into m_input.prepare() is pending. When the request ends, parse() works on the same buffer: consume() moves the read position under the pending read, so that commit() takes old bytes in place of the received ones, and shrink_to_fit() frees the memory that the read writes to. The time limit of a request in arrival and a malformed request cleared the buffer under a pending read as well.

Change: a pending read writes to m_received, which nothing else uses until the read has ended. Its bytes are then handed to m_input, without a copy unless bytes wait there; pipelined bytes wait unparsed up to maxPipelinedInput as before. The read during an open request is 464 bytes in place of 512, which makes up for the second buffer object.

Looked for the same shape elsewhere and did not find it: client_connection parses only in onRead(), and starts the next read afterwards (in complete() with an empty buffer); peer_socket reads into an array and parses it before the next read; fleet_link the same; admin_server and the stand-ins read, answer and write one after the other in one coroutine; the store's client, log_session and the command programs use client_connection.

--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-// Sizes of one read, in bytes. While a request is open, only the end of the connection is expected.
-constexpr std::size_t openRequestReadSize = 512;
+// Sizes of one read, in bytes. While a request is open, only the end of the connection is expected. A connection at rest holds a buffer of this size.
+constexpr std::size_t openRequestReadSize = 464;
 constexpr std::size_t requestReadSize = 4 * 1024UL;
 constexpr std::size_t bodyReadSize = 64 * 1024UL; // Used after a smaller read was filled.
 
@@ -62,7 +62,24 @@
     } else if (m_readSize < requestReadSize) {
         m_readSize = requestReadSize;
     }
-    read(m_input.prepare(m_readSize));
+    if (!m_arriving && m_received.capacity() > m_readSize) {
+        m_received.shrink_to_fit();
+    } else if (m_received.capacity() == 0 && m_input.size() == 0) {
+        m_received = std::move(m_input); // Reuses the memory of the last read.
+    }
+    read(m_received.prepare(m_readSize));
+}
+
+// Appends the bytes of a completed read to those that wait to be parsed.
+void caller_session::takeReceived(std::size_t size)
+{
+    m_received.commit(size);
+    if (m_input.size() == 0) {
+        m_input = std::move(m_received);
+        return;
+    }
+    m_input.commit(asio::buffer_copy(m_input.prepare(size), m_received.data()));
+    m_received.consume(size);
 }
 
 void caller_session::onRead(const boost::system::error_code &error, std::size_t size)
@@ -83,7 +100,7 @@
         }
     } else {
         m_readSize = size >= m_readSize ? bodyReadSize : requestReadSize;
-        m_input.commit(size);
+        takeReceived(size);
         if (m_caller == 0 && !m_parsePosted) {
             parse();
         }
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -121,6 +121,7 @@
     };
 
     void readMore();
+    void takeReceived(std::size_t size);
     void parse();
     void parseLater();
     void onParseError(const boost::beast::error_code &error);
@@ -142,7 +143,9 @@
     void endOutputOnce();
 
     session_host &m_host;
-    boost::beast::flat_buffer m_input;
+    // A pending read may write to m_received at any time, so that the bytes to parse are kept in m_input.
+    boost::beast::flat_buffer m_received;
+    boost::beast::flat_buffer m_input; // Bytes received and not parsed.
     std::unique_ptr<request_parser> m_parser; // Set while a request is being received.
     std::unique_ptr<open_request> m_request;
     std::string m_pendingOutput;
