Refuse requests whose end cannot be determined

Cause: Boost.Beast's parser takes a request with such a Transfer-Encoding and no Content-Length for one without a body; with several Transfer-Encoding lines, or in HTTP/1.0, it decides by one line or ignores the version. Nobody checked the head, and http_headers drops the header as one of a single channel.

Change: the parser stops behind the head, and checkFraming() refuses with 400 and a close (RFC 9112, 6.1 and 6.3) any coding but chunked, chunked twice, a coding in HTTP/1.0, and a coding beside a length. "gzip, chunked" is refused with 400 as well: the RFC suggests 501, which the failure table lacks, and the body would be forwarded without a note of its coding. Equal lengths that are repeated stay allowed. A refused request no longer counts as one that is being received (isArriving).

--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "http_headers.hpp"
+#include "request_head.hpp"
 
 namespace plantainpoint {
 
@@ -114,7 +115,6 @@
         m_parser = std::make_unique<request_parser>();
         m_parser->header_limit(static_cast<std::uint32_t>(m_host.limits().headerSize));
         m_parser->body_limit(m_host.limits().bodySize);
-        m_parser->eager(true);
     }
     if (!m_arriving && m_input.size() > 0) {
         m_arriving = true;
@@ -127,6 +127,14 @@
         if (error) {
             break;
         }
+        // The parser stops behind the head until it is eager.
+        if (!m_parser->eager() && m_parser->is_header_done()) {
+            m_parser->eager(true);
+            if (const auto framing = checkFraming(m_parser->get().base(), m_parser->chunked()); !framing.ok()) {
+                refuseAndClose(framing);
+                return;
+            }
+        }
     }
     if (error && error != http::error::need_more) {
         onParseError(error);
@@ -161,18 +169,25 @@
 
 void caller_session::onParseError(const boost::beast::error_code &error)
 {
-    m_parser.reset();
-    m_input.clear();
-    m_keepAlive = false;
     if (error == http::error::header_limit) {
-        refuse(failure::HeaderTooLarge, "the header exceeds " + std::to_string(m_host.limits().headerSize) + " bytes");
+        refuseAndClose(makeStatus(failure::HeaderTooLarge, "the header exceeds " + std::to_string(m_host.limits().headerSize) + " bytes"));
     } else if (error == http::error::body_limit) {
-        refuse(failure::BodyTooLarge, "the body exceeds " + std::to_string(m_host.limits().bodySize) + " bytes");
+        refuseAndClose(makeStatus(failure::BodyTooLarge, "the body exceeds " + std::to_string(m_host.limits().bodySize) + " bytes"));
     } else {
-        refuse(failure::MalformedRequest, "the request is not valid HTTP: " + error.message());
+        refuseAndClose(makeStatus(failure::MalformedRequest, "the request is not valid HTTP: " + error.message()));
     }
 }
 
+// Refuses a request whose end is not known: the bytes that follow are not taken for a request.
+void caller_session::refuseAndClose(const absl::Status &reason)
+{
+    m_parser.reset();
+    m_input.clear();
+    m_arriving = false;
+    m_keepAlive = false;
+    refuse(failureOf(reason), std::string_view{reason.message().data(), reason.message().size()});
+}
+
 void caller_session::sendContinueIfExpected()
 {
     if (m_continueHandled || !m_parser->is_header_done()) {
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include <absl/status/status.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -130,6 +131,7 @@
     bool bindKey(std::string_view key, caller_request &request);
     bool readCompletion(caller_request &request);
     void refuse(failure reason, std::string_view detail);
+    void refuseAndClose(const absl::Status &reason);
 
     void beginStream();
     void writeStatus(int status);
--- /dev/null
+++ b/shell/request_head.hpp
@@ -0,0 +1,13 @@
+// Checks of a request's head that the HTTP parser does not make.
+#pragma once
+
+#include <absl/status/status.h>
+#include <boost/beast/http/message.hpp>
+
+namespace plantainpoint {
+
+// Returns MalformedRequest if the end of the request cannot be determined reliably (RFC 9112, 6.1 and 6.3), or if its body has another transfer coding
+// than chunked. The flag chunked tells whether the parser takes the body for a chunked one.
+absl::Status checkFraming(const boost::beast::http::request_header<> &head, bool chunked);
+
+} // namespace plantainpoint
