Bound trailers and chunk lines of a request

A trailer field of more than 64 KB, or such a header where the configuration allows larger heads, ended the process of a VM. The size line of a chunk or a trailer without an end was kept in memory without a bound.

Cause: Boost.Beast's fields hold at most 64 KB a name or value and throw std::length_error for more, out of the parser; nothing caught it. The parser's header_limit does not cover the trailer and the lines of chunks.

Change: caller_session answers the exception with 431, and also input of more than header_bytes and one read that the parser cannot use yet.

Figures, before and after, test caller_methods: headersThatAreTooLongAreRefused ended with std::length_error, endlessChunkLinesAndTrailersAreRefused failed 4 checks (400 KB were kept); now none.

--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "caller_session.hpp"
 
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -123,7 +124,7 @@
     }
     boost::beast::error_code error;
     while (m_input.size() > 0 && !m_parser->is_done()) {
-        m_input.consume(m_parser->put(m_input.data(), error));
+        m_input.consume(put(error));
         if (error) {
             break;
         }
@@ -136,6 +137,10 @@
             }
         }
     }
+    if (error == http::error::need_more && m_input.size() > m_host.limits().headerSize + bodyReadSize) {
+        // A chunk's size line or the trailer never ends.
+        error = http::error::header_limit;
+    }
     if (error && error != http::error::need_more) {
         onParseError(error);
     } else if (m_parser->is_done()) {
@@ -151,6 +156,18 @@
     }
 }
 
+// Passes the input to the parser. Returns the number of bytes that it has taken.
+std::size_t caller_session::put(boost::beast::error_code &error)
+{
+    try {
+        return m_parser->put(m_input.data(), error);
+    } catch (const std::length_error &) {
+        // The library holds no header whose name or value exceeds 64 KB.
+        error = http::error::header_limit;
+        return 0;
+    }
+}
+
 absl::Status caller_session::checkHead() const
 {
     const auto &head = m_parser->get().base();
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -124,6 +124,7 @@
     void readMore();
     void takeReceived(std::size_t size);
     void parse();
+    std::size_t put(boost::beast::error_code &error);
     absl::Status checkHead() const;
     void parseLater();
     void onParseError(const boost::beast::error_code &error);
--- a/test/caller_methods_test.cpp
+++ b/test/caller_methods_test.cpp
@@ -137,6 +137,40 @@
     }
 }
 
+// Guards against headers that the HTTP library cannot hold: its limit for a name or a value is 64 KB, also in a trailer, where no other limit holds.
+BOOST_AUTO_TEST_CASE(headersThatAreTooLongAreRefused)
+{
+    listen(std::size_t{1024} * 1024);
+    const std::string longText(70'000, 'x');
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    for (const auto &rest :
+         {"A: " + longText + "\r\n\r\n", longText + ": a\r\n\r\n", chunks + "A: " + longText + "\r\n\r\n", chunks + longText + ": a\r\n\r\n"}) {
+        BOOST_TEST(has(answerTo("POST /a HTTP/1.1\r\n" + host + rest, "header_too_large"), "HTTP/1.1 431 "));
+    }
+    BOOST_TEST(forwarded == 0U);
+}
+
+// Guards against memory without a bound for the size line of a chunk or for a trailer that never ends.
+BOOST_AUTO_TEST_CASE(endlessChunkLinesAndTrailersAreRefused)
+{
+    for (const std::string begin : {"1;", "0\r\nA: "}) {
+        raw_connection caller(io, server->port());
+        caller.send("POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n" + begin);
+        const std::string block(1000, 'x');
+        int blocks = 0;
+        runUntil(io, [&] {
+            if (blocks < 400) {
+                caller.send(block);
+                ++blocks;
+            }
+            return caller.has("HTTP/1.1 431 ");
+        });
+        BOOST_TEST(caller.has("header_too_large"));
+        BOOST_TEST(blocks < 400);
+    }
+    BOOST_TEST(forwarded == 0U);
+}
+
 // Guards against an exception out of the client for a request that the HTTP library cannot send.
 BOOST_AUTO_TEST_CASE(unsendableRequestsEndTheirCall)
 {
