Add make sanitize

Change: the option PLANTAINPOINT_SANITIZE builds with AddressSanitizer and UndefinedBehaviorSanitizer.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= press
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps configure build test format format-check lint demo fuzz fuzz-mutants fuzz-bytes bench capacity clean
+.PHONY: all deps configure build test format format-check lint demo fuzz fuzz-mutants fuzz-bytes sanitize bench capacity clean
 
 all: build
 
@@ -55,6 +55,12 @@
 	        -artifact_prefix=$(BUILD)/bytes/ $(BUILD)/bytes/corpus/$$name || exit 1; \
 	done
 
+# Runs the tests of the caller and endpoint connections and of the relay with AddressSanitizer and UndefinedBehaviorSanitizer.
+sanitize: deps
+	cmake -S . -B $(BUILD)/sanitize -G Ninja -DPLANTAINPOINT_SANITIZE=ON
+	cmake --build $(BUILD)/sanitize -j $(JOBS) --target plantainpoint-test plantainpoint-relay platform-store-standin
+	.ci/run-sanitized $(BUILD)/sanitize
+
 # The figures of docs/CAPACITY.md are derived from this table.
 capacity: build
 	$(BUILD)/fleet-capacity --vms 7,20,40,80 --seconds 5 | tee bench/results/capacity.md
