--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include <absl/status/status.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -121,7 +122,10 @@
     };
 
     void readMore();
+    void takeReceived(std::size_t size);
     void parse();
+    std::size_t put(boost::beast::error_code &error);
+    absl::Status checkHead() const;
     void parseLater();
     void onParseError(const boost::beast::error_code &error);
     void sendContinueIfExpected();
@@ -129,6 +133,7 @@
     bool bindKey(std::string_view key, caller_request &request);
     bool readCompletion(caller_request &request);
     void refuse(failure reason, std::string_view detail);
+    void refuseAndClose(const absl::Status &reason);
 
     void beginStream();
     void writeStatus(int status);
@@ -142,7 +147,9 @@
     void endOutputOnce();
 
     session_host &m_host;
-    boost::beast::flat_buffer m_input;
+    // A pending read may write to m_received at any time, so that the bytes to parse are kept in m_input.
+    boost::beast::flat_buffer m_received;
+    boost::beast::flat_buffer m_input; // Bytes received and not parsed.
     std::unique_ptr<request_parser> m_parser; // Set while a request is being received.
     std::unique_ptr<open_request> m_request;
     std::string m_pendingOutput;
