Keep requests from the accept queue when a VM stops listening

What callers saw: a connection that waited in the accept queue when the drain time of a planned stop ended was closed without an answer, although its request had been sent.

Cause: closeIdle() accepts the waiting connections and starts to read from each. Asio tries the first read at once, so that the bytes of the request have left the socket when closeIdle() asks whether bytes wait there, and their handler has not run. The connection looked idle.

Change: an idle connection is not closed at once. Its pending read is cancelled, which has no effect on a read that has completed: its handler then finds the request.

Evidence: http_server_limits/closingIdleConnectionsKeepsRequestsThatWereJustRead, 5 of its 6 checks failed before (none of 4 requests arrived).

--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -240,6 +240,15 @@
     refuse(failure::MalformedRequest, "the request did not arrive within " + std::to_string(idle.count()) + " ms");
 }
 
+void caller_session::closeUnlessRead()
+{
+    if (m_reading) {
+        cancelRead();
+    } else {
+        close();
+    }
+}
+
 void caller_session::close()
 {
     if (m_closed) {
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -75,6 +75,8 @@
     void abortAnswer();
     // Closes or refuses the connection if its idle, write or drain time has expired.
     void sweep(std::chrono::steady_clock::time_point now);
+    // Closes a connection without a request, unless bytes of one have just been read.
+    void closeUnlessRead();
     void close();
     bool hasRequest() const { return m_caller != 0; }
     // Returns whether no request is open or partly received and no output is left.
@@ -94,6 +96,8 @@
     virtual void write(boost::asio::const_buffer bytes) = 0;
     // Shuts down the sending direction of the connection.
     virtual void endOutput() = 0;
+    // Completes the pending read with an error, unless it has completed.
+    virtual void cancelRead() = 0;
     virtual void closeSocket() = 0;
     // Selects whether the connection is reset when it is closed, also by the end of this process.
     virtual void setResetOnClose(bool reset) = 0;
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -62,6 +62,11 @@
         boost::system::error_code ignored;
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     }
+    void cancelRead() override
+    {
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
     void closeSocket() override
     {
         boost::system::error_code ignored;
@@ -109,6 +114,11 @@
     {
         m_stream.async_shutdown([self = self()](const boost::system::error_code &) { self->close(); });
     }
+    void cancelRead() override
+    {
+        boost::system::error_code ignored;
+        m_stream.lowest_layer().cancel(ignored);
+    }
     void closeSocket() override
     {
         boost::system::error_code ignored;
@@ -405,7 +415,7 @@
         }
     }
     for (const auto &session : idle) {
-        session->close();
+        session->closeUnlessRead();
     }
 }
 
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -201,4 +201,25 @@
     BOOST_TEST(caller.received().find("first") < caller.received().find("second"));
 }
 
+// Guards against a planned stop that closes a connection from the queue although its request has just been read.
+BOOST_AUTO_TEST_CASE(closingIdleConnectionsKeepsRequestsThatWereJustRead)
+{
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<raw_connection>(io, server->port()));
+        callers.back()->send("GET /a HTTP/1.1\r\n\r\n");
+    }
+    raw_connection idle(io, server->port());
+    server->beginClosing();
+    server->closeIdle();
+    BOOST_TEST(requestsArrive(4));
+    BOOST_TEST(runUntil(io, [&] { return idle.ended(); }));
+    for (const auto &request : requests) {
+        server->run(answer_plain{.caller = request.caller, .label = label(), .body = "whole"});
+    }
+    for (auto &caller : callers) {
+        BOOST_TEST(runUntil(io, [&] { return caller->has("whole"); }));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
