Let what a VM has passed on run until the end of its grace period

Requests that were still being received when the VM had no other one were passed on and cut.

Cause: once the drain time was over and the core had no open request, it reported that it had stopped, and relay_vm counted 3 s from that moment. At their end the loop stopped whether or not requests that had arrived meanwhile were open. Nothing bounded the other case: with an open request at all times the VM went on for 10 s, and the platform killed it inside streams.

What is still being received is refused with 503 not run when finishing begins, what waits without having had an endpoint when closing begins; at 15/16 requests that were passed on are answered with 502 unknown and streams aborted. Answers may be written until 31/32. The shell only tells the core that nothing is being received, after two checks 20 ms apart. Signals are taken from the construction of the VM on, before it listens. The rest of a request that was refused in part is read until its caller closes, as unread bytes would reset the connection.

The grace period is the setting grace_s, rendered from the bound of the platform. A number that was not filled in counts as its default (8 s).

relay_core_requests/shutdownFinishesOpenRequests held the VM open with a request whose deadline (1 s) had passed, and passed because the old core took a second tick to stop. It now opens the request 0.6 s before the end of the drain time, and checks that it is open and answered.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -342,6 +342,10 @@
     bool refused = false; // The order will not be carried out.
 };
 
+// No request is being received from a caller, and none can arrive any more. Answers stop_accepting.
+struct reception_finished {
+};
+
 using relay_input = std::variant<relay_request,
                                  caller_disconnected,
                                  relay_reply,
@@ -361,7 +365,8 @@
                                  order_log_read,
                                  order_appended,
                                  role_order_answered,
-                                 shutdown_requested>;
+                                 shutdown_requested,
+                                 reception_finished>;
 
 // Outputs.
 
@@ -487,10 +492,14 @@
     std::uint64_t fencing = 0;
 };
 
-// Stops taking requests: closes idle connections and accepts no new ones.
+// Closes idle connections and accepts no new ones. Requests that are being received go on.
 struct stop_accepting {
 };
 
+// Refuses the requests that are still being received.
+struct refuse_arriving {
+};
+
 using relay_command = std::variant<answer_plain,
                                    answer_failure,
                                    answer_stream_head,
@@ -512,6 +521,7 @@
                                    append_order,
                                    send_role_order,
                                    stop_accepting,
+                                   refuse_arriving,
                                    log_line,
                                    stopped>;
 
--- a/include/plantainpoint/relay_core.hpp
+++ b/include/plantainpoint/relay_core.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,7 @@
     // Requests are still accepted for this time after a shutdown request. It is long enough for the balancer to notice,
     // and short enough that streams can end.
     duration drainTime = std::chrono::milliseconds{2500};
+    duration grace = std::chrono::seconds{8}; // The process is killed so long after a shutdown request.
 };
 
 // Decides for one VM. It is not thread-safe and performs no I/O.
@@ -64,6 +66,9 @@
     // Returns true when the configuration and the endpoints are known and no shutdown was requested.
     bool ready() const;
 
+    // Returns the time by which the process has to end, or nothing if no shutdown was requested.
+    std::optional<time_point> endsAt() const;
+
     // Returns the number of requests without a final answer.
     std::size_t openRequests() const;
 
--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t keptBufferSize = 4 * 1024UL; // Bytes of a buffer that are kept between writes.
+constexpr auto shutdownRetry = std::chrono::milliseconds{100}; // Another VM takes the request at once.
 constexpr auto drainTime = std::chrono::seconds{2}; // Time for the caller to close after the last answer.
 
 // Size line of a chunk. The digits are filled in when the chunk is closed.
@@ -233,11 +234,25 @@
         close();
         return;
     }
+    refuseRest(failure::MalformedRequest, "the request did not arrive within " + std::to_string(idle.count()) + " ms");
+}
+
+// Refuses a request before its end. What still arrives of it is discarded.
+void caller_session::refuseRest(failure reason, std::string_view detail, std::optional<duration> retryAfter)
+{
     m_arriving = false;
     m_parser.reset();
     m_input.clear();
     m_keepAlive = false;
-    refuse(failure::MalformedRequest, "the request did not arrive within " + std::to_string(idle.count()) + " ms");
+    m_inputRefused = true;
+    refuse(reason, detail, retryAfter);
+}
+
+void caller_session::refuseArriving()
+{
+    if (!m_closed) {
+        refuseRest(failure::ShuttingDown, "this VM is shutting down", shutdownRetry);
+    }
 }
 
 void caller_session::closeUnlessRead()
--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -237,12 +237,12 @@
     return true;
 }
 
-void caller_session::refuse(failure reason, std::string_view detail)
+void caller_session::refuse(failure reason, std::string_view detail, std::optional<duration> retryAfter)
 {
     if (!m_request) {
         m_request = std::make_unique<open_request>();
     }
-    writeProblem({.reason = reason, .result = outcome::NotRun, .detail = std::string{detail}});
+    writeProblem({.reason = reason, .result = outcome::NotRun, .detail = std::string{detail}, .retryAfter = retryAfter});
     finish(entryOf(reason).httpStatus);
 }
 
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -75,13 +75,17 @@
     void abortAnswer();
     // Closes or refuses the connection if its idle, write or drain time has expired.
     void sweep(std::chrono::steady_clock::time_point now);
+    // Refuses a request that is being received, as this VM is shutting down.
+    void refuseArriving();
     // Closes a connection without a request, unless bytes of one have just been read.
     void closeUnlessRead();
     void close();
-    bool hasRequest() const { return m_caller != 0; }
     // Returns whether no request is open or partly received and no output is left.
     bool isIdle() const { return m_caller == 0 && !m_arriving && m_input.size() == 0 && !hasOutput(); }
-    bool isArriving() const { return m_arriving; }
+    // Returns whether a request is being received, or bytes of one wait to be read.
+    bool isReceiving() const { return m_caller == 0 && m_keepAlive && (m_arriving || m_input.size() > 0 || hasPendingInput()); }
+    // Returns whether the rest of a request that was refused is read and discarded.
+    bool isDiscarding() const { return m_inputRefused && !m_closed; }
     // Returns whether the connection has bytes that have not been read.
     virtual bool hasPendingInput() const = 0;
     bool hasOutput() const { return m_writing || !m_pendingOutput.empty(); }
@@ -132,7 +136,8 @@
     void handleRequest(boost::beast::http::request<boost::beast::http::string_body> message);
     bool bindKey(std::string_view key, caller_request &request);
     bool readCompletion(caller_request &request);
-    void refuse(failure reason, std::string_view detail);
+    void refuse(failure reason, std::string_view detail, std::optional<duration> retryAfter = std::nullopt);
+    void refuseRest(failure reason, std::string_view detail, std::optional<duration> retryAfter = std::nullopt);
 
     void beginStream();
     void writeStatus(int status);
@@ -168,6 +173,7 @@
     bool m_flushPosted = false;
     bool m_parsePosted = false;
     bool m_outputEnded = false;
+    bool m_inputRefused = false; // A request was refused before its end.
     bool m_closed = false;
 };
 
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -429,16 +429,27 @@
     }
 }
 
+void http_server::refuseArriving()
+{
+    std::vector<std::shared_ptr<caller_session>> arriving;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->isReceiving()) {
+            arriving.push_back(session);
+        }
+    }
+    for (const auto &session : arriving) {
+        session->refuseArriving();
+    }
+}
+
 bool http_server::isReceiving() const
 {
-    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) {
-        return !entry.second->hasRequest() && (entry.second->isArriving() || entry.second->hasPendingInput());
-    });
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return entry.second->isReceiving(); });
 }
 
 bool http_server::flushed() const
 {
-    return std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return entry.second->hasOutput(); });
+    return std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return entry.second->hasOutput() || entry.second->isDiscarding(); });
 }
 
 } // namespace plantainpoint
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -57,10 +57,12 @@
     // From now on every connection is closed after its current answer.
     void beginClosing() { m_closing = true; }
     void stopListening();
-    // Stops listening and closes the connections that have no request.
+    // Stops listening and closes the connections that have no request. Connections that wait to be accepted are taken.
     void closeIdle();
+    // Refuses the requests that have been received in part or wait to be read.
+    void refuseArriving();
     void closeAll();
-    // Returns whether all output has been written to the callers.
+    // Returns whether all output has been written to the callers, and whether those whose requests were refused in part have closed.
     bool flushed() const;
     // Returns whether a request has been received in part, or waits to be read.
     bool isReceiving() const;
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -85,6 +85,10 @@
     out.directoryAddress = root.address("directory");
     out.core.peerAddress = out.peerAddress;
     out.core.drainTime = root.time("drain_time", milliseconds{2500}, milliseconds{0}, milliseconds{60'000});
+    constexpr double minGrace = 1;
+    constexpr double maxGrace = 3600;
+    const std::chrono::duration<double> grace(root.number("grace_s", std::chrono::duration<double>(out.core.grace).count(), minGrace, maxGrace));
+    out.core.grace = std::chrono::duration_cast<duration>(grace);
     constexpr double thousandthsPerCore = 1000;
     constexpr double maxCores = 10'000;
     out.core.capacity = static_cast<std::int64_t>(root.number("processor_cores", 0, 0, maxCores) * thousandthsPerCore);
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -1,6 +1,7 @@
 // Runs the relay core of a VM in one event loop.
 #pragma once
 
+#include <algorithm>
 #include <concepts>
 #include <csignal>
 #include <string>
@@ -62,9 +63,9 @@
 private:
     static constexpr const char *statePath = "/fleet/state";
     static constexpr auto fetchTimeout = std::chrono::milliseconds{800};
-    static constexpr auto receiveTime = std::chrono::seconds{3}; // Time for requests that arrive while the VM stops.
-    static constexpr auto stopCheckInterval = std::chrono::milliseconds{20};
-    static constexpr auto flushTime = std::chrono::seconds{1}; // Time for answers that are still being written when the core has stopped.
+    static constexpr auto receptionCheckInterval = std::chrono::milliseconds{20};
+    // A read that has completed is handled before the second of two checks, so that its bytes are not missed.
+    static constexpr int quietChecks = 2;
     static constexpr auto storeOptions =
         http_client_options{.connectTimeout = std::chrono::milliseconds{300}, .unacknowledgedTimeout = std::chrono::milliseconds{900}, .maxIdlePerAddress = 2};
     // An endpoint that does not accept a connection within this time would miss the latency objective anyway. A sound endpoint may read nothing for a
@@ -91,9 +92,10 @@
     void run(const log_line &command);
     void run(const read_order_log &command) { m_directory.run(command); }
     void run(const append_order &command) { m_directory.run(command); }
-    void run(const stop_accepting & /*command*/) { m_server.closeIdle(); }
+    void run(const stop_accepting &command);
+    void run(const refuse_arriving & /*command*/) { m_server.refuseArriving(); }
     void run(const stopped &command);
-    void stopWhenQuiet();
+    void checkReception();
 
     boost::asio::io_context &m_io;
     std::string m_settingsFile;
@@ -113,8 +115,8 @@
     admin_server m_admin;
     core_loop<relay_core, relay_input> m_loop;
     boost::asio::signal_set m_signals;
-    boost::asio::steady_timer m_stopTimer;
-    time_point m_stopBy{};
+    boost::asio::steady_timer m_receptionTimer;
+    int m_quietChecks = 0; // Consecutive checks that found no request being received.
     std::uint64_t m_boundsVersion = 0;
     bool m_shuttingDown = false;
 };
@@ -144,8 +146,13 @@
     , m_admin(io, adminViews())
     , m_loop(io, m_clock, m_core, [this] { execute(); })
     , m_signals(io)
-    , m_stopTimer(io)
+    , m_receptionTimer(io)
 {
+    // A signal that arrives before the start is handled after it. The default action would end the process.
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
+    m_signals.add(SIGHUP);
+    waitForSignal();
 }
 
 template<relay_platform Platform>
@@ -180,10 +187,6 @@
         return bindStatus;
     }
     m_logger.setNonBlocking();
-    m_signals.add(SIGTERM);
-    m_signals.add(SIGINT);
-    m_signals.add(SIGHUP);
-    waitForSignal();
     m_logger.write(severity::Info, log_component::Core, "Started vm=" + m_options.core.self.vm.value + " listen=" + m_options.listenAddress + '.');
     m_directory.start();
     m_loop.tick();
@@ -289,27 +292,38 @@
 }
 
 template<relay_platform Platform>
-void relay_vm<Platform>::run(const stopped & /*command*/)
+void relay_vm<Platform>::run(const stop_accepting & /*command*/)
 {
-    m_stopBy = m_clock.now() + receiveTime;
-    stopWhenQuiet();
+    m_server.closeIdle();
+    checkReception();
 }
 
-// Stops when no request is left that was received, or is being received, since the core had none.
+// Tells the core when no request is being received any more.
 template<relay_platform Platform>
-void relay_vm<Platform>::stopWhenQuiet()
+void relay_vm<Platform>::checkReception()
 {
-    if ((m_core.openRequests() > 0 || m_server.isReceiving()) && m_clock.now() < m_stopBy) {
-        m_stopTimer.expires_after(stopCheckInterval);
-        m_stopTimer.async_wait([this](const boost::system::error_code &error) {
-            if (!error) {
-                stopWhenQuiet();
-            }
-        });
-        return;
-    }
-    m_server.stopListening();
-    m_loop.stop([this] { return m_server.flushed(); }, flushTime, [this] { m_logger.write(severity::Info, log_component::Core, "Stopped."); });
+    m_receptionTimer.expires_after(receptionCheckInterval);
+    m_receptionTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_quietChecks = m_server.isReceiving() ? 0 : m_quietChecks + 1;
+        if (m_quietChecks == quietChecks) {
+            deliver(reception_finished{});
+        } else {
+            checkReception();
+        }
+    });
+}
+
+// Ends the process when the callers have their answers.
+template<relay_platform Platform>
+void relay_vm<Platform>::run(const stopped & /*command*/)
+{
+    m_receptionTimer.cancel();
+    m_server.refuseArriving();
+    const auto timeLeft = std::max(m_core.endsAt().value_or(time_point{}) - m_clock.now(), duration{});
+    m_loop.stop([this] { return m_server.flushed(); }, timeLeft, [this] { m_logger.write(severity::Info, log_component::Core, "Stopped."); });
 }
 
 } // namespace plantainpoint
--- a/shell/yaml_reader.cpp
+++ b/shell/yaml_reader.cpp
@@ -48,6 +48,12 @@
     return text;
 }
 
+// Returns whether a platform had no value for a placeholder, or did not fill it in.
+bool isWithoutValue(std::string_view text)
+{
+    return text.empty() || text == "null" || text.starts_with("{{");
+}
+
 } // namespace
 
 settings_errors::settings_errors(std::string file)
@@ -169,12 +175,12 @@
 
 double settings_section::number(const std::string &key, double fallback, double low, double high)
 {
-    if (const auto node = find(key); node && node.IsNull()) {
+    if (const auto node = find(key); node && (node.IsNull() || (node.IsScalar() && isWithoutValue(node.Scalar())))) {
         return fallback;
     }
     bool found = false;
     const auto value = scalar(key, false, found);
-    if (!found || value.empty()) {
+    if (!found) {
         return fallback;
     }
     if (value == "true" || value == "false") {
--- a/shell/yaml_reader.hpp
+++ b/shell/yaml_reader.hpp
@@ -43,8 +43,8 @@
     std::string address(const std::string &key);
     std::string address(const std::string &key, const std::string &fallback);
     std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t low, std::int64_t high);
-    // Reads a number that a platform renders: a whole number, a fraction, or true or false for 1 or 0. An empty value counts as absent, and a
-    // value out of range is limited to it, as a VM that could serve has to start.
+    // Reads a number that a platform renders: a whole number, a fraction, or true or false for 1 or 0. An empty value, null and a placeholder that was
+    // not filled in count as absent, and a value out of range is limited to it, as a VM that could serve has to start.
     double number(const std::string &key, double fallback, double low, double high);
     // Reads a number with the unit B, KB or MB, as multiples of 1024. Returns bytes.
     std::size_t size(const std::string &key, std::size_t fallback, std::size_t low, std::size_t high);
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -6,6 +6,7 @@
 
 #include "directory_follower.hpp"
 #include "relay_requests.hpp"
+#include "stop_sequence.hpp"
 
 namespace plantainpoint {
 
@@ -18,6 +19,7 @@
 constexpr duration membersReadInterval = std::chrono::seconds{3}; // Longer than the search for a hub among the known VMs.
 // Changes are repeated for this time, so that a lost summary delays them only.
 constexpr duration changesRepeatTime = std::chrono::milliseconds{700};
+constexpr duration shutdownRetry = std::chrono::milliseconds{100}; // Another VM takes the request at once.
 constexpr std::size_t maxFetchedEntries = 256; // Entries of endpoints that a VM that has just started gets from a hub.
 constexpr std::size_t maxFetchedConfigSize = 64 * 1024UL; // Bytes. Larger configurations are read from the directory.
 
@@ -35,6 +37,7 @@
         : components(std::move(settings), clock)
         , requests(components)
         , follower(components.settings.directoryInterval, components.settings.directoryBound, stableHash(components.settings.self.vm.value))
+        , stop({components.settings.drainTime, components.settings.grace})
     {
     }
 
@@ -50,6 +53,8 @@
     void on(const fleet_summary &summary);
     void on(const members_read &read);
     void on(const shutdown_requested &message);
+    void on(const reception_finished & /*message*/) { stop.onReceptionFinished(); }
+    void on(relay_request request);
     void on(const order_log_read &read) { components.planner.on(read, components.clock.now(), components.commands); }
     void on(const order_appended &appended) { components.planner.on(appended, components.endpoints, components.clock.now(), components.commands); }
     void on(const role_order_answered &answer) { components.planner.on(answer, components.endpoints, components.clock.now(), components.commands); }
@@ -70,7 +75,7 @@
     void readDirectory(time_point now);
     directory_role directoryRole(time_point now) const;
     void planRoles(time_point now);
-    void stopWhenIdle(time_point now);
+    void advanceStop(time_point now);
 
     relay_components components;
     relay_requests requests;
@@ -85,9 +90,7 @@
     time_point lastTickAt = time_point::max();
     time_point nextFetch{};
     time_point nextMembersRead{};
-    std::optional<time_point> shutdownAt;
-    bool stopAcceptingSent = false;
-    bool stoppedSent = false;
+    stop_sequence stop;
 };
 
 void relay_core::state::on(const configuration_read &read)
@@ -241,13 +244,13 @@
 
 void relay_core::state::on(const shutdown_requested & /*message*/)
 {
-    if (shutdownAt) {
+    const auto now = components.clock.now();
+    if (!stop.begin(now)) {
         return;
     }
     components.shuttingDown = true;
-    shutdownAt = components.clock.now();
     components.fleet.setLeaving();
-    nextExchange = *shutdownAt;
+    nextExchange = now;
     components.logMessage(severity::Info, log_component::Core, "shutdown requested open=" + std::to_string(requests.open()));
 }
 
@@ -340,21 +343,44 @@
     }
 }
 
-void relay_core::state::stopWhenIdle(time_point now)
+void relay_core::state::on(relay_request request)
 {
-    if (!shutdownAt || stoppedSent || now - *shutdownAt < components.settings.drainTime) {
-        return;
-    }
-    if (!stopAcceptingSent) {
-        stopAcceptingSent = true;
-        components.commands.push_back(stop_accepting{});
+    if (stop.takesRequests()) {
+        requests.on(std::move(request));
         return;
     }
-    if (requests.open() > 0) {
-        return;
+    components.logMessage(
+        severity::Info, log_component::Http, "request=" + request.payload->id + " refused reason=" + std::string(nameOf(failure::ShuttingDown)));
+    components.commands.push_back(answer_failure{request.caller, {}, failure::ShuttingDown, outcome::NotRun, "this VM is shutting down", shutdownRetry});
+}
+
+// Enters the stages of the stop that are due, in order, also after a suspension of the VM.
+void relay_core::state::advanceStop(time_point now)
+{
+    while (stop.advance(now, requests.open())) {
+        components.logMessage(
+            severity::Info, log_component::Core, "shutdown stage=" + std::string(nameOf(stop.stage())) + " open=" + std::to_string(requests.open()));
+        switch (stop.stage()) {
+        case stop_stage::Receiving:
+            components.commands.push_back(stop_accepting{});
+            break;
+        case stop_stage::Finishing:
+            components.commands.push_back(refuse_arriving{});
+            break;
+        case stop_stage::Closing:
+            requests.refuseWaiting("this VM is shutting down");
+            break;
+        case stop_stage::Ending:
+            requests.failAll("this VM is shutting down");
+            break;
+        case stop_stage::Stopped:
+            components.commands.push_back(stopped{});
+            break;
+        case stop_stage::Serving:
+        case stop_stage::Draining:
+            break;
+        }
     }
-    stoppedSent = true;
-    components.commands.push_back(stopped{});
 }
 
 relay_core::relay_core(relay_settings settings, const clock_source &clock)
@@ -374,6 +400,7 @@
     // The message may have freed a slot or changed what is known of the endpoints.
     m_state->requests.placeWaiting();
     m_state->reportChangedWork(m_state->components.clock.now());
+    m_state->advanceStop(m_state->components.clock.now());
 }
 
 void relay_core::tick()
@@ -387,7 +414,7 @@
     m_state->reportChangedWork(now);
     m_state->readDirectory(now);
     m_state->planRoles(now);
-    m_state->stopWhenIdle(now);
+    m_state->advanceStop(now);
 }
 
 std::vector<relay_command> relay_core::take()
@@ -402,6 +429,9 @@
     if (m_state->requests.workVersion() != m_state->reportedWork && m_state->components.fleet.placingHub(now) != nullptr) {
         next = std::min(next, m_state->lastReportAt + reportInterval);
     }
+    if (const auto change = m_state->stop.nextChange()) {
+        next = std::min(next, *change);
+    }
     const auto wakeup = m_state->requests.nextWakeup();
     return wakeup ? std::min(next, *wakeup) : next;
 }
@@ -411,6 +441,11 @@
     return m_state->components.routes && m_state->components.endpoints.known() && !m_state->components.shuttingDown;
 }
 
+std::optional<time_point> relay_core::endsAt() const
+{
+    return m_state->components.shuttingDown ? std::optional(m_state->stop.endsAt()) : std::nullopt;
+}
+
 std::size_t relay_core::openRequests() const
 {
     return m_state->requests.open();
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -135,6 +135,10 @@
     // Acts on deadlines and on attempts that are overdue.
     void tick(time_point now);
     std::optional<time_point> nextWakeup() const;
+    // Refuses the requests that no endpoint has had.
+    void refuseWaiting(std::string_view detail);
+    // Answers every open request with a failure.
+    void failAll(std::string_view detail);
     std::size_t open() const { return m_entries.size(); }
     // Returns the requests that wait for a place, here or at the hub.
     std::size_t waiting() const { return m_components.placement.waitingLocally() + m_asks.size(); }
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -222,4 +222,30 @@
     }
 }
 
+// Guards against a request that is being received at the end of a planned stop and gets no answer, or one that is reset by its unread rest.
+BOOST_AUTO_TEST_CASE(requestsThatAreBeingReceivedAreRefusedAtTheEnd)
+{
+    raw_connection arriving(io, server->port());
+    arriving.send("POST /a HTTP/1.1\r\nContent-Length: 2000\r\n\r\nhalf");
+    raw_connection open(io, server->port());
+    open.send("GET /b HTTP/1.1\r\n\r\n");
+    BOOST_REQUIRE(requestsArrive());
+    BOOST_REQUIRE(runUntil(io, [&] { return server->isReceiving(); }));
+    server->beginClosing();
+    server->closeIdle();
+    BOOST_TEST(server->isReceiving());
+    server->refuseArriving();
+    BOOST_TEST(!server->isReceiving());
+    BOOST_TEST(runUntil(io, [&] { return arriving.has("503 ") && arriving.has("shutting_down") && arriving.has("not_run"); }));
+    BOOST_TEST(arriving.has("Retry-After: "));
+    BOOST_TEST(arriving.has("Connection: close"));
+    BOOST_TEST(!server->flushed()); // The caller may still send, and unread bytes would reset the connection.
+    arriving.send(std::string(1996, 'x'));
+    arriving.close();
+    BOOST_TEST(runUntil(io, [&] { return server->flushed(); }));
+    BOOST_TEST(requests.size() == 1U);
+    server->run(answer_plain{.caller = requests[0].caller, .label = label(), .body = "whole"});
+    BOOST_TEST(runUntil(io, [&] { return open.has("whole"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/relay_core_test.cpp
+++ b/test/relay_core_test.cpp
@@ -221,18 +221,20 @@
 BOOST_AUTO_TEST_CASE(shutdownFinishesOpenRequests)
 {
     configureDesks();
-    sendRequest("/book/1");
-    const auto open = dispatches.back();
     core.handle(shutdown_requested{});
     BOOST_TEST(!core.ready());
     sendRequest("/lookup/1");
     reply(dispatches.back(), 200);
     BOOST_TEST(answers.size() == 1);
     advance(milliseconds{1900});
+    sendRequest("/book/1");
+    const auto open = dispatches.back();
     advance(milliseconds{700});
     BOOST_TEST(acceptingStopped);
+    BOOST_TEST(core.openRequests() == 1);
     BOOST_TEST(!isStopped);
     reply(open, 200);
+    BOOST_TEST(answers.size() == 2);
     advance(milliseconds{1});
     BOOST_TEST(isStopped);
 }
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -148,6 +148,7 @@
 
     void collect()
     {
+        bool receptionEnds = false;
         for (auto &each : core.take()) {
             if (auto *const dispatch = std::get_if<relay_dispatch>(&each)) {
                 dispatches.push_back(*dispatch);
@@ -167,6 +168,9 @@
                 ++releasedPrefills;
             } else if (std::holds_alternative<stop_accepting>(each)) {
                 acceptingStopped = true;
+                receptionEnds = !callersStillSend;
+            } else if (std::holds_alternative<refuse_arriving>(each)) {
+                arrivingRefused = true;
             } else if (std::holds_alternative<stopped>(each)) {
                 isStopped = true;
             } else if (auto *const heartbeatMessage = std::get_if<send_heartbeat>(&each)) {
@@ -177,6 +181,10 @@
                 fetchAddresses.push_back(fetch->address);
             }
         }
+        if (receptionEnds) {
+            core.handle(reception_finished{});
+            collect();
+        }
     }
 
     manual_clock clock;
@@ -195,7 +203,9 @@
     int streamEnds = 0;
     int abortedAnswers = 0;
     int releasedPrefills = 0;
+    bool callersStillSend = false; // Requests are still being received when no new connection is accepted.
     bool acceptingStopped = false;
+    bool arrivingRefused = false;
     bool isStopped = false;
 };
 
--- /dev/null
+++ b/test/relay_options_test.cpp
@@ -0,0 +1,56 @@
+// Tests how the relay reads the numbers that a platform renders into its settings.
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+#include "relay_options.hpp"
+
+using namespace plantainpoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct relay_options_file {
+    ~relay_options_file() { std::filesystem::remove(file); }
+
+    absl::StatusOr<relay_options> load(const std::string &extra)
+    {
+        std::ofstream(file) << "vm: vm-1\ndata_centre: a\nlisten: 127.0.0.1:8080\nready: 127.0.0.1:8081\npeer: 127.0.0.1:8082\ndirectory: 127.0.0.1:8083\n"
+                            << extra;
+        return loadRelayOptions(file.string());
+    }
+    duration graceOf(const std::string &value)
+    {
+        const auto options = load("grace_s: " + value + '\n');
+        return options.ok() ? options->core.grace : duration{};
+    }
+
+    std::filesystem::path file = std::filesystem::temp_directory_path() / ("plantainpoint-relay-options-" + std::to_string(::getpid()) + ".yaml");
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(relay_settings_file, relay_options_file)
+
+// Guards against a grace period in another unit, and against one that is longer or shorter than what the platform gives.
+BOOST_AUTO_TEST_CASE(graceIsReadInSeconds)
+{
+    BOOST_TEST((graceOf("12") == milliseconds{12'000}));
+    BOOST_TEST((graceOf("\"12\"") == milliseconds{12'000}));
+    BOOST_TEST((graceOf("2.5") == milliseconds{2500}));
+    BOOST_TEST((graceOf("0") == milliseconds{1000}));
+    BOOST_TEST((load("grace_s: soon\n").status().message().find("grace_s: must be a number") != absl::string_view::npos));
+}
+
+// Guards against a VM that does not start because the platform has no value for the placeholder.
+BOOST_AUTO_TEST_CASE(graceWithoutAValueHasItsDefault)
+{
+    const relay_settings defaults;
+    for (const auto *value : {"", "\"\"", "\"null\"", "null", "\"{{bounds.grace_s|json}}\""}) {
+        BOOST_TEST((graceOf(value) == defaults.grace), value);
+    }
+    BOOST_TEST((load("")->core.grace == milliseconds{8000}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
