Share the body of a request with its dispatches

What callers saw: a VM held the body of each prompt once for further attempts and once in the request to the worker until that was written.

Cause: worker_dialect::encode() copied payload.body into the request, as the body type of outgoing requests was a string of its own.

Change: outgoing requests have the body type shared_body: bytes that an owner keeps alive, here the payload.

--- a/shell/http_client.cpp
+++ b/shell/http_client.cpp
@@ -161,7 +161,7 @@
     http_request request{method, boost::beast::string_view{target.data(), target.size()}, httpVersion};
     if (!body.empty()) {
         request.set(http::field::content_type, boost::beast::string_view{contentType.data(), contentType.size()});
-        request.body() = std::move(body);
+        request.body() = shared_bytes(std::move(body));
     }
     return request;
 }
--- a/shell/http_client.hpp
+++ b/shell/http_client.hpp
@@ -14,14 +14,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "plantainpoint/clock.hpp"
+#include "shared_body.hpp"
 
 namespace plantainpoint {
 
 using http_fields = boost::beast::http::fields;
-using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+using http_request = boost::beast::http::request<shared_body>;
 
 enum class transfer_end : std::uint8_t {
     Complete,
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -237,7 +237,21 @@
         BOOST_TEST(valueOf(encoded, name).empty());
     }
     BOOST_TEST(encoded.target() == "/s/1?a=%20b");
-    BOOST_TEST(encoded.body() == "body");
+    BOOST_TEST(encoded.body().view() == "body");
+}
+
+// Guards against a copy of the body for each dispatch, which takes a VM over its memory limit.
+BOOST_AUTO_TEST_CASE(dispatchesShareTheBodyOfTheirRequest)
+{
+    auto caller = callerRequest();
+    caller.body = std::string(100'000, 'b');
+    const auto *const bytes = caller.body.data();
+    const auto request = decodeRequest(caller);
+    const auto first = worker_dialect{}.encode(dispatchOf(request));
+    const auto second = worker_dialect{}.encode(dispatchOf(request));
+    BOOST_TEST(static_cast<const void *>(first.body().view().data()) == static_cast<const void *>(bytes));
+    BOOST_TEST(static_cast<const void *>(second.body().view().data()) == static_cast<const void *>(bytes));
+    BOOST_TEST(first.body().view().size() == 100'000U);
 }
 
 // Guards against a wrong stage, prefill source or resume position in the headers sent to a worker, and against invalid prefill handles.
