--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -62,6 +62,11 @@
         boost::system::error_code ignored;
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     }
+    void cancelRead() override
+    {
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
     void closeSocket() override
     {
         boost::system::error_code ignored;
@@ -109,6 +114,11 @@
     {
         m_stream.async_shutdown([self = self()](const boost::system::error_code &) { self->close(); });
     }
+    void cancelRead() override
+    {
+        boost::system::error_code ignored;
+        m_stream.lowest_layer().cancel(ignored);
+    }
     void closeSocket() override
     {
         boost::system::error_code ignored;
@@ -405,7 +415,7 @@
         }
     }
     for (const auto &session : idle) {
-        session->close();
+        session->closeUnlessRead();
     }
 }
 
@@ -419,16 +429,27 @@
     }
 }
 
+void http_server::refuseArriving()
+{
+    std::vector<std::shared_ptr<caller_session>> arriving;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->isReceiving()) {
+            arriving.push_back(session);
+        }
+    }
+    for (const auto &session : arriving) {
+        session->refuseArriving();
+    }
+}
+
 bool http_server::isReceiving() const
 {
-    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) {
-        return !entry.second->hasRequest() && (entry.second->isArriving() || entry.second->hasPendingInput());
-    });
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return entry.second->isReceiving(); });
 }
 
 bool http_server::flushed() const
 {
-    return std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return entry.second->hasOutput(); });
+    return std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return entry.second->hasOutput() || entry.second->isDiscarding(); });
 }
 
 } // namespace plantainpoint
