--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -387,6 +387,10 @@
     bool refused = false; // The order will not be carried out.
 };
 
+// No request is being received from a caller, and none can arrive any more. Answers stop_accepting.
+struct reception_finished {
+};
+
 using relay_input = std::variant<relay_request,
                                  caller_disconnected,
                                  relay_reply,
@@ -408,7 +412,8 @@
                                  role_order_answered,
                                  endpoint_checked,
                                  quarantine_read,
-                                 shutdown_requested>;
+                                 shutdown_requested,
+                                 reception_finished>;
 
 // Outputs.
 
@@ -441,7 +446,7 @@
     bool streamed = false;
     std::optional<prefill_source> source;
     std::optional<std::uint64_t> resumeAfter;
-    bool repeated = false; // The endpoint has had an attempt of this request before, whose answer may arrive twice.
+    bool repeated = false; // An attempt of this request was sent to the address before. Its answer may arrive twice.
 };
 
 // Closes the connection of an attempt. No more of its answer arrives.
@@ -545,10 +550,14 @@
     quarantined_requests quarantined;
 };
 
-// Stops taking requests: closes idle connections and accepts no new ones.
+// Closes idle connections and accepts no new ones. Requests that are being received go on.
 struct stop_accepting {
 };
 
+// Refuses the requests that are still being received.
+struct refuse_arriving {
+};
+
 using relay_command = std::variant<answer_plain,
                                    answer_failure,
                                    answer_stream_head,
@@ -572,6 +581,7 @@
                                    check_endpoint,
                                    store_quarantine,
                                    stop_accepting,
+                                   refuse_arriving,
                                    log_line,
                                    stopped>;
 
--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "caller_session.hpp"
 
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "http_headers.hpp"
+#include "request_head.hpp"
 
 namespace plantainpoint {
 
@@ -15,8 +17,8 @@
 
 namespace {
 
-// Sizes of one read, in bytes. While a request is open, only the end of the connection is expected.
-constexpr std::size_t openRequestReadSize = 512;
+// Sizes of one read, in bytes. While a request is open, only the end of the connection is expected. A connection at rest holds a buffer of this size.
+constexpr std::size_t openRequestReadSize = 464;
 constexpr std::size_t requestReadSize = 4 * 1024UL;
 constexpr std::size_t bodyReadSize = 64 * 1024UL; // Used after a smaller read was filled.
 
@@ -62,7 +64,24 @@
     } else if (m_readSize < requestReadSize) {
         m_readSize = requestReadSize;
     }
-    read(m_input.prepare(m_readSize));
+    if (!m_arriving && m_received.capacity() > m_readSize) {
+        m_received.shrink_to_fit();
+    } else if (m_received.capacity() == 0 && m_input.size() == 0) {
+        m_received = std::move(m_input); // Reuses the memory of the last read.
+    }
+    read(m_received.prepare(m_readSize));
+}
+
+// Appends the bytes of a completed read to those that wait to be parsed.
+void caller_session::takeReceived(std::size_t size)
+{
+    m_received.commit(size);
+    if (m_input.size() == 0) {
+        m_input = std::move(m_received);
+        return;
+    }
+    m_input.commit(asio::buffer_copy(m_input.prepare(size), m_received.data()));
+    m_received.consume(size);
 }
 
 void caller_session::onRead(const boost::system::error_code &error, std::size_t size)
@@ -83,7 +102,7 @@
         }
     } else {
         m_readSize = size >= m_readSize ? bodyReadSize : requestReadSize;
-        m_input.commit(size);
+        takeReceived(size);
         if (m_caller == 0 && !m_parsePosted) {
             parse();
         }
@@ -97,7 +116,6 @@
         m_parser = std::make_unique<request_parser>();
         m_parser->header_limit(static_cast<std::uint32_t>(m_host.limits().headerSize));
         m_parser->body_limit(m_host.limits().bodySize);
-        m_parser->eager(true);
     }
     if (!m_arriving && m_input.size() > 0) {
         m_arriving = true;
@@ -106,10 +124,22 @@
     }
     boost::beast::error_code error;
     while (m_input.size() > 0 && !m_parser->is_done()) {
-        m_input.consume(m_parser->put(m_input.data(), error));
+        m_input.consume(put(error));
         if (error) {
             break;
         }
+        // The parser stops behind the head until it is eager.
+        if (!m_parser->eager() && m_parser->is_header_done()) {
+            m_parser->eager(true);
+            if (const auto head = checkHead(); !head.ok()) {
+                refuseAndClose(head);
+                return;
+            }
+        }
+    }
+    if (error == http::error::need_more && m_input.size() > m_host.limits().headerSize + bodyReadSize) {
+        // A chunk's size line or the trailer never ends.
+        error = http::error::header_limit;
     }
     if (error && error != http::error::need_more) {
         onParseError(error);
@@ -126,6 +156,27 @@
     }
 }
 
+// Passes the input to the parser. Returns the number of bytes that it has taken.
+std::size_t caller_session::put(boost::beast::error_code &error)
+{
+    try {
+        return m_parser->put(m_input.data(), error);
+    } catch (const std::length_error &) {
+        // The library holds no header whose name or value exceeds 64 KB.
+        error = http::error::header_limit;
+        return 0;
+    }
+}
+
+absl::Status caller_session::checkHead() const
+{
+    const auto &head = m_parser->get().base();
+    if (auto framing = checkFraming(head, m_parser->chunked()); !framing.ok()) {
+        return framing;
+    }
+    return checkMethod(head, m_parser->chunked() || m_parser->content_length().value_or(0) > 0);
+}
+
 // Parses a pipelined request. The call is posted, so that requests answered at once do not recurse.
 void caller_session::parseLater()
 {
@@ -144,18 +195,25 @@
 
 void caller_session::onParseError(const boost::beast::error_code &error)
 {
-    m_parser.reset();
-    m_input.clear();
-    m_keepAlive = false;
     if (error == http::error::header_limit) {
-        refuse(failure::HeaderTooLarge, "the header exceeds " + std::to_string(m_host.limits().headerSize) + " bytes");
+        refuseAndClose(makeStatus(failure::HeaderTooLarge, "the header exceeds " + std::to_string(m_host.limits().headerSize) + " bytes"));
     } else if (error == http::error::body_limit) {
-        refuse(failure::BodyTooLarge, "the body exceeds " + std::to_string(m_host.limits().bodySize) + " bytes");
+        refuseAndClose(makeStatus(failure::BodyTooLarge, "the body exceeds " + std::to_string(m_host.limits().bodySize) + " bytes"));
     } else {
-        refuse(failure::MalformedRequest, "the request is not valid HTTP: " + error.message());
+        refuseAndClose(makeStatus(failure::MalformedRequest, "the request is not valid HTTP: " + error.message()));
     }
 }
 
+// Refuses a request whose end is not known: the bytes that follow are not taken for a request.
+void caller_session::refuseAndClose(const absl::Status &reason)
+{
+    m_parser.reset();
+    m_input.clear();
+    m_arriving = false;
+    m_keepAlive = false;
+    refuse(failureOf(reason), std::string_view{reason.message().data(), reason.message().size()});
+}
+
 void caller_session::sendContinueIfExpected()
 {
     if (m_continueHandled || !m_parser->is_header_done()) {
@@ -237,12 +295,12 @@
     return true;
 }
 
-void caller_session::refuse(failure reason, std::string_view detail)
+void caller_session::refuse(failure reason, std::string_view detail, std::optional<duration> retryAfter)
 {
     if (!m_request) {
         m_request = std::make_unique<open_request>();
     }
-    writeProblem({.reason = reason, .result = outcome::NotRun, .detail = std::string{detail}});
+    writeProblem({.reason = reason, .result = outcome::NotRun, .detail = std::string{detail}, .retryAfter = retryAfter});
     finish(entryOf(reason).httpStatus);
 }
 
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include <absl/status/status.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -75,11 +76,17 @@
     void abortAnswer();
     // Closes or refuses the connection if its idle, write or drain time has expired.
     void sweep(std::chrono::steady_clock::time_point now);
+    // Refuses a request that is being received, as this VM is shutting down.
+    void refuseArriving();
+    // Closes a connection without a request, unless bytes of one have just been read.
+    void closeUnlessRead();
     void close();
-    bool hasRequest() const { return m_caller != 0; }
     // Returns whether no request is open or partly received and no output is left.
     bool isIdle() const { return m_caller == 0 && !m_arriving && m_input.size() == 0 && !hasOutput(); }
-    bool isArriving() const { return m_arriving; }
+    // Returns whether a request is being received, or bytes of one wait to be read.
+    bool isReceiving() const { return m_caller == 0 && m_keepAlive && (m_arriving || m_input.size() > 0 || hasPendingInput()); }
+    // Returns whether the rest of a request that was refused is read and discarded.
+    bool isDiscarding() const { return m_inputRefused && !m_closed; }
     // Returns whether the connection has bytes that have not been read.
     virtual bool hasPendingInput() const = 0;
     bool hasOutput() const { return m_writing || !m_pendingOutput.empty(); }
@@ -90,17 +97,19 @@
     virtual void handshake() = 0;
     // The derived class calls onRead() on completion.
     virtual void read(boost::asio::mutable_buffer buffer) = 0;
-    // The derived class calls onWritten() on completion.
+    // Writes at least one byte. The derived class calls onWritten() with the number of bytes.
     virtual void write(boost::asio::const_buffer bytes) = 0;
     // Shuts down the sending direction of the connection.
     virtual void endOutput() = 0;
+    // Completes the pending read with an error, unless it has completed.
+    virtual void cancelRead() = 0;
     virtual void closeSocket() = 0;
     // Selects whether the connection is reset when it is closed, also by the end of this process.
     virtual void setResetOnClose(bool reset) = 0;
 
     void ready();
     void onRead(const boost::system::error_code &error, std::size_t size);
-    void onWritten(const boost::system::error_code &error);
+    void onWritten(const boost::system::error_code &error, std::size_t size);
 
 private:
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -121,14 +130,19 @@
     };
 
     void readMore();
+    void takeReceived(std::size_t size);
     void parse();
+    std::size_t put(boost::beast::error_code &error);
+    absl::Status checkHead() const;
     void parseLater();
     void onParseError(const boost::beast::error_code &error);
     void sendContinueIfExpected();
     void handleRequest(boost::beast::http::request<boost::beast::http::string_body> message);
     bool bindKey(std::string_view key, caller_request &request);
     bool readCompletion(caller_request &request);
-    void refuse(failure reason, std::string_view detail);
+    void refuse(failure reason, std::string_view detail, std::optional<duration> retryAfter = std::nullopt);
+    void refuseRest(failure reason, std::string_view detail, std::optional<duration> retryAfter = std::nullopt);
+    void refuseAndClose(const absl::Status &reason);
 
     void beginStream();
     void writeStatus(int status);
@@ -139,10 +153,13 @@
     void closeChunk();
     void flushLater();
     void flush();
+    void writeRest();
     void endOutputOnce();
 
     session_host &m_host;
-    boost::beast::flat_buffer m_input;
+    // A pending read may write to m_received at any time, so that the bytes to parse are kept in m_input.
+    boost::beast::flat_buffer m_received;
+    boost::beast::flat_buffer m_input; // Bytes received and not parsed.
     std::unique_ptr<request_parser> m_parser; // Set while a request is being received.
     std::unique_ptr<open_request> m_request;
     std::string m_pendingOutput;
@@ -151,6 +168,7 @@
     caller_id m_caller = 0; // 0 while no request is open.
     std::size_t m_chunkStart = 0; // Offset of the open chunk in m_pendingOutput.
     std::size_t m_readSize = 0;
+    std::size_t m_writtenSize = 0; // Bytes of m_writeBuffer that the connection has taken.
     std::size_t m_discardedBytes = 0;
     steady::time_point m_phaseStart; // Start of the idle time, of the request's arrival or of the drain.
     steady::time_point m_writeStart;
@@ -164,6 +182,7 @@
     bool m_flushPosted = false;
     bool m_parsePosted = false;
     bool m_outputEnded = false;
+    bool m_inputRefused = false; // A request was refused before its end.
     bool m_closed = false;
 };
 
--- a/shell/client_connection.cpp
+++ b/shell/client_connection.cpp
@@ -44,7 +44,7 @@
 {
 }
 
-std::uint64_t client_connection::start(http_call call, std::shared_ptr<http_receiver> receiver)
+std::uint64_t client_connection::start(http_call call, std::shared_ptr<http_receiver> receiver, bool sendable)
 {
     m_call.emplace(std::move(call));
     m_receiver = std::move(receiver);
@@ -52,8 +52,11 @@
     m_startedAt = steady_clock::now();
     m_skippedHeads = 0;
     m_skippedBytes = 0;
+    m_headOnly = m_call->request.method() == http::verb::head;
     resetParser();
-    if (m_socket.is_open()) {
+    if (!sendable) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(transfer_end::Malformed); });
+    } else if (m_socket.is_open()) {
         write();
     } else {
         connect();
@@ -67,7 +70,7 @@
     m_parser->get().body() = this;
     m_parser->header_limit(maxHeadSize);
     m_parser->body_limit(m_call->maxBody);
-    m_parser->skip(m_call->request.method() == http::verb::head);
+    m_parser->skip(m_headOnly);
     m_headSeen = false;
     m_skippingResponse = false;
 }
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -21,6 +21,20 @@
 // An endpoint that has written an answer for this time is not ended by its request.
 constexpr duration soundAnswerTime = milliseconds{500};
 
+// Returns the media type in lower case, without its parameters.
+std::string mediaTypeOf(const std::vector<header> &headers)
+{
+    constexpr std::string_view name = "content-type";
+    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    const auto isNamed = [&](const header &field) {
+        return std::equal(field.name.begin(), field.name.end(), name.begin(), name.end(), [&](char a, char b) { return lower(a) == b; });
+    };
+    const auto found = std::find_if(headers.begin(), headers.end(), isNamed);
+    std::string type = found == headers.end() ? std::string{} : found->value.substr(0, found->value.find_first_of("; \t"));
+    std::transform(type.begin(), type.end(), type.begin(), lower);
+    return type;
+}
+
 } // namespace
 
 std::optional<time_point> relay_requests::failoverTime(const relay_entry &entry, dispatch_kind kind, duration expected) const
@@ -64,7 +78,7 @@
         entry.attempt->source = std::exchange(entry.source, std::nullopt);
     }
     entry.placedAt = entry.placedAt.value_or(now);
-    const bool repeated = !entry.usedEndpoints.insert(endpoint.info.name).second;
+    const bool repeated = !entry.usedAddresses.insert(endpoint.info.address).second;
     entry.lastEndpoint = endpoint.info.name;
     m_attempts.emplace(number, entry.request.caller);
     const auto *const account = entry.account;
@@ -166,6 +180,7 @@
 {
     auto head = std::exchange(entry.attempt->heldHead, std::nullopt);
     if (head && !std::exchange(entry.headSent, true)) {
+        entry.mediaType = mediaTypeOf(head->headers);
         m_components.commands.push_back(answer_stream_head{entry.request.caller, head->status, std::move(head->headers)});
     }
 }
@@ -332,12 +347,27 @@
     }
 }
 
+// Ends an attempt whose endpoint sends something else than the stream.
+void relay_requests::breakOff(relay_entry &entry, attempt_number number)
+{
+    m_components.commands.push_back(relay_abort{number});
+    if (isOverdue(entry, number)) {
+        onOverdueAttemptFailed(entry, reply_outcome::Broken, nullptr);
+    } else {
+        onLost(entry, reply_outcome::Broken);
+    }
+}
+
 void relay_requests::on(stream_head head)
 {
     auto *const entry = findByAttempt(head.attempt);
     if (entry == nullptr) {
         return;
     }
+    if (entry->headSent && mediaTypeOf(head.headers) != entry->mediaType) {
+        breakOff(*entry, head.attempt);
+        return;
+    }
     auto &attempt = isOverdue(*entry, head.attempt) ? *entry->overdueAttempt : *entry->attempt;
     recordReportedLoad(attempt.endpoint, head.load);
     attempt.framing = head.framing;
@@ -376,12 +406,7 @@
     }
     const auto [events, bytes] = readEvents(*entry, attempt, part.bytes);
     if (attempt.splitter.isOverlong()) {
-        m_components.commands.push_back(relay_abort{part.attempt});
-        if (overdue) {
-            onOverdueAttemptFailed(*entry, reply_outcome::Broken, nullptr);
-        } else {
-            onLost(*entry, reply_outcome::Broken);
-        }
+        breakOff(*entry, part.attempt);
         return;
     }
     // Only whole events are progress, so that an endpoint that sends a byte now and then counts as stalled.
--- a/test/shell_support.hpp
+++ b/test/shell_support.hpp
@@ -53,6 +53,12 @@
         boost::system::error_code ignored;
         boost::asio::write(m_socket, boost::asio::buffer(bytes.data(), bytes.size()), ignored);
     }
+    // Sends what the socket takes at once and returns its size.
+    std::size_t sendSome(std::string_view bytes)
+    {
+        boost::system::error_code ignored;
+        return m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), ignored);
+    }
     // Returns everything received so far.
     const std::string &received()
     {
@@ -62,6 +68,7 @@
             const auto size = m_socket.read_some(boost::asio::buffer(block), error);
             if (error) {
                 m_ended = m_ended || error != boost::asio::error::would_block;
+                m_wasReset = m_wasReset || error == boost::asio::error::connection_reset;
                 return m_received;
             }
             m_received.append(block.data(), size);
@@ -73,12 +80,18 @@
         received();
         return m_ended;
     }
+    bool wasReset()
+    {
+        received();
+        return m_wasReset;
+    }
     void close() { m_socket.close(); }
 
 private:
     tcp::socket m_socket;
     std::string m_received;
     bool m_ended = false;
+    bool m_wasReset = false;
 };
 
 inline const line_logger &quietLogger()
