--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -196,7 +196,9 @@
     std::optional<suspect> best;
     double bestScore = 0;
     bool tied = false;
-    for (const auto &[trait, count] : lostRequests) {
+    for (const auto &item : lostRequests) {
+        const auto &trait = item.first;
+        const auto count = item.second;
         // A trait of quarantined ones that crashes endpoints without the others is judged by all of its crashes.
         const bool isKnown =
             std::any_of(explained.begin(), explained.end(), [&](const auto &traits) { return std::binary_search(traits.begin(), traits.end(), trait); });
--- a/test/odd_records_test.cpp
+++ b/test/odd_records_test.cpp
@@ -254,7 +254,7 @@
     startReading();
     serveRequest(newestWorkersTarget, newestPage(1, "w-1", workerEntry("10.0.0.1:1")));
     std::uint64_t next = 1;
-    for (const std::string odd : {entryWith("born", "9223372036854775807"), entryWith("addr", "\"10.0.0.9:65536\""), std::string(100'000, '[')}) {
+    for (const std::string &odd : {entryWith("born", "9223372036854775807"), entryWith("addr", "\"10.0.0.9:65536\""), std::string(100'000, '[')}) {
         serveRequest(std::string(readWorkersTarget) + "&part=0&from=" + std::to_string(next) + " ", logPage(next + 1, 0, encodeKeyedRecord("w-1", odd)));
         ++next;
         BOOST_REQUIRE(requestFor(std::string(readWorkersTarget) + "&part=0&from=" + std::to_string(next) + " ") != nullptr);
