Use an endpoint again after its role has changed

Callers saw 503 or longer waits: an endpoint that answered 421 once got no work until it restarted, on each VM that had the answer.

Cause: 421 means that another endpoint has the address, or that the endpoint has another role by now. `recordNotRun` took both for the first and set `endpoint_entry::gone`, which only a new start of the endpoint cleared. A 421 of a request sent before the change also excluded the endpoint in its new role, or in its new run at a new address.

Change: the mark ends when the directory has an entry of the endpoint that differs from the known one or follows a withdrawal, as only the endpoint itself writes it. A 421 that belongs to a request sent before such an entry sets no mark. A role that changed forth and back between two reads leaves no changed entry. For that case the mark ends after 5 s in which the directory answered and went on listing the endpoint: entries of ended endpoints lapse after three check-in intervals (3.6 s). The time doubles to 60 s with each further refusal, and it starts again while the directory does not answer.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -76,7 +76,7 @@
     std::string body;
     bool genuine = false; // The answer carries the endpoint's stamp.
     bool notRun = false; // The endpoint states that it has not run the request.
-    bool wrongEndpoint = false; // Another endpoint now has the address.
+    bool wrongEndpoint = false; // Another endpoint now has the address, or the endpoint has another role.
     std::optional<reported_load> load;
 };
 
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -13,6 +13,10 @@
 constexpr duration roleChangeNoticeTime = std::chrono::milliseconds{700}; // The VM that sent the order repeats it in its heartbeats.
 constexpr duration initialDownTime = std::chrono::milliseconds{250};
 constexpr duration maxDownTime = std::chrono::seconds{2}; // A restarted endpoint is used again within this time.
+// The directory removes the entry of an ended endpoint after three check-in intervals of silence (3.6 s in the deployment's settings). An endpoint that is
+// listed for longer than this is alive.
+constexpr duration initialMisdirectedTime = std::chrono::seconds{5};
+constexpr duration maxMisdirectedTime = std::chrono::seconds{60};
 constexpr double newSampleWeight = 0.15; // Weight of the newest sample in a mean time.
 
 } // namespace
@@ -60,7 +64,7 @@
 
 bool endpoint_entry::usable(time_point now) const
 {
-    return !gone && info.condition == endpoint_condition::Ready && (!withdrawnAt || now < *withdrawnAt);
+    return !misdirectedSince && info.condition == endpoint_condition::Ready && (!withdrawnAt || now < *withdrawnAt);
 }
 
 bool endpoint_entry::acceptsWork(time_point now) const
@@ -76,6 +80,16 @@
     downUntil = now + downTime;
 }
 
+// The refusal means that another endpoint has the address, or that this one has another role by now. Only the directory tells the two apart.
+void endpoint_entry::onMisdirected(std::uint64_t knownAnnouncements, time_point now)
+{
+    if (knownAnnouncements != announcements) {
+        return; // The refusal concerns the run or the role before.
+    }
+    misdirectedTime = misdirectedTime == duration{} ? initialMisdirectedTime : std::min(misdirectedTime * 2, maxMisdirectedTime);
+    misdirectedSince = now;
+}
+
 duration endpoint_entry::longestUnansweredWait(time_point now) const
 {
     duration longest{};
@@ -106,12 +120,17 @@
         return false;
     }
     const bool restarted = info.startedAt != entry.info.startedAt;
-    const bool changed = restarted || entry.info != info || entry.withdrawnAt || entry.gone;
+    const bool changed = restarted || entry.info != info || entry.withdrawnAt;
     if (restarted) {
         entry.endpointStatistics = {};
         entry.downUntil = {};
         entry.downTime = {};
-        entry.gone = false;
+    }
+    // The endpoint itself has written its entry again, so it is alive.
+    if (changed) {
+        ++entry.announcements;
+        entry.misdirectedSince.reset();
+        entry.misdirectedTime = {};
     }
     // An endpoint that announces another role has completed its role change, so it may receive work again.
     if (entry.info.role != info.role) {
@@ -193,6 +212,14 @@
 void endpoint_directory::tick(time_point now)
 {
     std::erase_if(m_entries, [&](const auto &item) { return item.second.withdrawnAt && now >= *item.second.withdrawnAt && item.second.open.empty(); });
+    for (auto &[name, entry] : m_entries) {
+        if (entry.misdirectedSince && !m_reachable) {
+            // Entries of ended endpoints stay while the directory does not answer.
+            entry.misdirectedSince = now;
+        } else if (entry.misdirectedSince && now - *entry.misdirectedSince >= entry.misdirectedTime) {
+            entry.misdirectedSince.reset();
+        }
+    }
 }
 
 endpoint_entry *endpoint_directory::find(const endpoint_name &name)
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -61,12 +61,17 @@
     time_point downUntil{}; // The endpoint could not be connected to.
     duration downTime{}; // Length of the last exclusion, which doubles with each failed connection.
     time_point roleChangeUntil{}; // The endpoint was ordered to change its role and accepts no work until it has done so.
-    bool gone = false;
+    std::uint64_t announcements = 0; // Announcements that changed what is known of the endpoint.
+    std::optional<time_point> misdirectedSince; // The endpoint refused a request as not meant for it.
+    duration misdirectedTime{}; // Length of the last exclusion after such a refusal, which doubles with each one.
 
     bool usable(time_point now) const;
     // Returns whether the endpoint accepts work now, as far as this VM knows.
     bool acceptsWork(time_point now) const;
     void onUnreachable(time_point now);
+    // Excludes an endpoint that refused a request as not meant for it, until the directory shows that the endpoint is alive at its address. The number of
+    // announcements is that at the dispatch of the request.
+    void onMisdirected(std::uint64_t knownAnnouncements, time_point now);
     // Returns the longest wait of an open attempt that has no answer yet.
     duration longestUnansweredWait(time_point now) const;
     endpoint_load ownLoad() const;
@@ -86,7 +91,7 @@
     void onReannouncing(duration reannounceLeft, time_point now);
     // Returns for how long endpoints are still expected back after an outage.
     duration reannounceLeft(time_point now) const;
-    // Removes entries that are withdrawn and have no open work.
+    // Removes entries that are withdrawn and have no open work, and ends exclusions.
     void tick(time_point now);
 
     std::uint64_t position() const { return m_position; }
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -59,7 +59,7 @@
     if (kind == dispatch_kind::Decode) {
         entry.sentSource = std::exchange(entry.source, std::nullopt);
     }
-    entry.attempt = relay_attempt{number, endpoint.info.name, kind, now, failoverTime(entry, kind, expected)};
+    entry.attempt = relay_attempt{number, endpoint.info.name, endpoint.announcements, kind, now, failoverTime(entry, kind, expected)};
     entry.placedAt = entry.placedAt.value_or(now);
     const bool repeated = !entry.usedEndpoints.insert(endpoint.info.name).second;
     entry.lastEndpoint = endpoint.info.name;
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -190,12 +190,12 @@
     }
 }
 
-// Avoids the endpoint for a moment, or for good if another endpoint has its address.
+// Avoids the endpoint for a moment, or until the directory shows it alive if another endpoint may have its address.
 void relay_requests::recordNotRun(const relay_entry &entry, const relay_attempt &attempt, const relay_reply *reply)
 {
     auto *const endpoint = m_components.endpoints.find(attempt.endpoint);
     if (endpoint != nullptr && reply != nullptr && reply->wrongEndpoint) {
-        endpoint->gone = true;
+        endpoint->onMisdirected(attempt.announcements, m_components.clock.now());
     } else if (endpoint != nullptr && reply != nullptr) {
         endpoint->fullUntil = m_components.clock.now() + fullBackoff;
     } else if (endpoint != nullptr) {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -53,6 +53,7 @@
 struct relay_attempt {
     attempt_number number = 0;
     endpoint_name endpoint;
+    std::uint64_t announcements = 0; // Of the endpoint, at the dispatch.
     dispatch_kind kind = dispatch_kind::Plain;
     time_point sentAt{};
     // Time at which the request fails over to another endpoint, if one has room.
