--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -137,6 +137,16 @@
         return nlohmann::json{{"end", end}, {"has_more", false}, {"items", {{{"key", name}, {"value", absl::Base64Escape(value)}}}}}.dump();
     }
 
+    // Returns a page of workers that all have the same address.
+    static std::string workersPage(std::uint64_t end, const std::vector<std::string> &names, bool more)
+    {
+        auto items = nlohmann::json::array();
+        for (const auto &name : names) {
+            items.push_back({{"key", name}, {"value", absl::Base64Escape(workerEntry("10.0.0.1:1"))}});
+        }
+        return nlohmann::json{{"end", end}, {"has_more", more}, {"items", items}}.dump();
+    }
+
     // Serves the reads of the configuration, which the tests of workers do not need.
     void serveConfiguration()
     {
@@ -345,4 +355,58 @@
     BOOST_TEST(requestsForAll() == before);
 }
 
+// Guards against a record that was written between two pages and is missing at other VMs for good: the later page contains it, so that its record in the
+// log changes nothing here, and a VM that has read up to the first page takes over the position without it.
+BOOST_AUTO_TEST_CASE(recordsThatALaterPageContainsAreChanges)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(3, {"w-2"}, false));
+    serveRequest(std::string(readWorkersTarget) + "&part=0&from=2", logPage(3, 0, encodeKeyedRecord("w-2", workerEntry("10.0.0.1:1"))));
+    BOOST_REQUIRE(runUntil(io, [&] { return lastState.position == 3; }));
+    BOOST_TEST(lastState.lastChange == 3);
+    addresses.clear();
+    store_reader behind{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
+    behind.importState(encodeState({{"w-1", workerEntry("10.0.0.1:1")}}, 2));
+    behind.importState(reader.exportState(behind.missingState()));
+    BOOST_TEST(addresses["w-2"] == "10.0.0.1:1");
+}
+
+// Guards against the same for a worker that was removed between two pages.
+BOOST_AUTO_TEST_CASE(removalsThatALaterPageContainsAreChanges)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(3, {"w-3"}, false));
+    serveRequest(std::string(readWorkersTarget) + "&part=0&from=2", logPage(3, 0, encodeKeyedRecord("w-2", "")));
+    BOOST_REQUIRE(runUntil(io, [&] { return lastState.position == 3; }));
+    BOOST_TEST(lastState.lastChange == 3);
+    store_reader behind{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
+    behind.importState(encodeState({{"w-1", workerEntry("10.0.0.1:1")}, {"w-2", workerEntry("10.0.0.1:1")}, {"w-3", workerEntry("10.0.0.1:1")}}, 2));
+    BOOST_TEST(addresses["w-2"] == "10.0.0.1:1");
+    behind.importState(reader.exportState(behind.missingState()));
+    BOOST_TEST(addresses["w-2"].empty());
+}
+
+// Guards against the same at a VM that took over the pages before the log was read on.
+BOOST_AUTO_TEST_CASE(recordsThatImportedPagesContainAreChanges)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(3, {"w-2"}, false));
+    auto *const readOfLog = requestFor(std::string(readWorkersTarget) + "&part=0&from=2");
+    BOOST_REQUIRE(readOfLog != nullptr);
+    store_reader other{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
+    other.importState(reader.exportState(other.missingState()));
+    answer(*readOfLog, logPage(3, 0, encodeKeyedRecord("w-2", workerEntry("10.0.0.1:1"))));
+    BOOST_REQUIRE(runUntil(io, [&] { return lastState.position == 3; }));
+    lastState = {};
+    other.importState(reader.exportState(other.missingState()));
+    BOOST_TEST(lastState.position == 3);
+    BOOST_TEST(lastState.lastChange == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
