Refuse deeply nested CBOR instead of using up the stack

What was seen: 1 MB of nested arrays as a message of the fleet, as the state of another VM, or as an answer of the log ends the process with an access violation (the JSON library reads CBOR recursively). A datagram of 59,000 nested arrays still fitted into the stack of 8 MB (arm64, -O2).

Cause: only records of the log had a limit of their depth (16); the fleet messages, the state taken over from another VM and the answers of the log were parsed without one.

Change: `parseCbor` with the limit is public and serves all of them.

--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "address.hpp"
+#include "plantainpoint/cbor.hpp"
 #include "plantainpoint/failure.hpp"
 
 namespace plantainpoint {
@@ -352,7 +353,11 @@
         return makeStatus(failure::MalformedMessage, "fleet message: expected a heartbeat, a summary, an ask or a grant");
     }
     try {
-        const auto in = json::from_cbor(bytes.substr(prefix));
+        const auto document = parseCbor(bytes.substr(prefix), failure::MalformedMessage);
+        if (!document.ok()) {
+            return document.status();
+        }
+        const auto &in = *document;
         if (!in.is_array() || in.empty() || in[0] != format) {
             return makeStatus(failure::MalformedMessage, "fleet message: expected an array that starts with format number 8");
         }
--- a/shell/log_client.cpp
+++ b/shell/log_client.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "endpoint_replies.hpp"
+#include "plantainpoint/cbor.hpp"
 
 namespace plantainpoint {
 
@@ -82,9 +83,12 @@
         return log_read_failed{.sentAt = sentAt};
     }
     try {
-        const auto reply = json::from_cbor(body.begin(), body.end());
-        log_read result{.sentAt = sentAt, .first = reply.at("first").get<log_offset>(), .head = reply.at("head").get<log_offset>()};
-        for (const auto &item : reply.at("entries")) {
+        const auto reply = parseCbor(body, failure::MalformedMessage);
+        if (!reply.ok()) {
+            return log_read_failed{.sentAt = sentAt};
+        }
+        log_read result{.sentAt = sentAt, .first = reply->at("first").get<log_offset>(), .head = reply->at("head").get<log_offset>()};
+        for (const auto &item : reply->at("entries")) {
             result.entries.push_back(entryOf(item));
         }
         return result;
--- a/src/log_snapshot.cpp
+++ b/src/log_snapshot.cpp
@@ -1,5 +1,7 @@
 // Writes the applied state as bytes and reads it back. The same state always gives the same bytes.
 #include "log_state.hpp"
+#include "plantainpoint/cbor.hpp"
+#include "plantainpoint/failure.hpp"
 #include "record_fields.hpp"
 
 namespace plantainpoint {
@@ -209,7 +211,7 @@
 
 absl::Status log_state::install(std::string_view bytes)
 try {
-    const auto document = parseCbor(bytes);
+    const auto document = parseCbor(bytes, failure::MalformedRecord);
     if (!document.ok()) {
         return makeStatus(failure::SnapshotInvalid, std::string(document.status().message()));
     }
--- a/src/record_fields.hpp
+++ b/src/record_fields.hpp
@@ -13,9 +13,6 @@
 inline constexpr std::size_t maxOutcomeBodyBytes = 1'000'000;
 inline constexpr std::size_t maxChunkBytes = 1'000'000;
 
-// Parses untrusted CBOR. Returns MalformedRecord if the data is not CBOR or is nested too deeply.
-absl::StatusOr<nlohmann::json> parseCbor(std::string_view bytes);
-
 template<class Visitor>
 void describe(Visitor &visitor, entity<publication> auto &value)
 {
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -1,5 +1,7 @@
 #include "plantainpoint/records.hpp"
 
+#include "plantainpoint/cbor.hpp"
+#include "plantainpoint/failure.hpp"
 #include "record_fields.hpp"
 
 namespace plantainpoint {
@@ -8,35 +10,8 @@
 
 using nlohmann::json;
 
-// Record types nest six levels deep. The limit keeps malformed input from using up the stack.
-constexpr std::size_t maxDepth = 16;
 constexpr std::size_t maxRecordsPerBatch = 10'000;
 
-// Parses a document without building it and stops at the first level that is nested too deeply.
-class depth_check final : public nlohmann::json_sax<json>
-{
-public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; } // NOLINT(readability-identifier-naming): The interface requires these names.
-    bool number_unsigned(number_unsigned_t) override { return true; } // NOLINT(readability-identifier-naming)
-    bool number_float(number_float_t, const string_t &) override { return true; } // NOLINT(readability-identifier-naming)
-    bool string(string_t &) override { return true; }
-    bool binary(binary_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++m_depth <= maxDepth; } // NOLINT(readability-identifier-naming)
-    bool key(string_t &) override { return true; }
-    bool end_object() override { return m_depth-- > 0; } // NOLINT(readability-identifier-naming)
-    bool start_array(std::size_t) override { return ++m_depth <= maxDepth; } // NOLINT(readability-identifier-naming)
-    bool end_array() override { return m_depth-- > 0; } // NOLINT(readability-identifier-naming)
-    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override // NOLINT(readability-identifier-naming)
-    {
-        return false;
-    }
-
-private:
-    std::size_t m_depth = 0;
-};
-
 constexpr std::array<std::string_view, std::variant_size_v<record_body>> typeNames{
     "publication",
     "epoch",
@@ -132,23 +107,12 @@
     return payload;
 }
 
-absl::StatusOr<json> parseCbor(std::string_view bytes)
-try {
-    depth_check check;
-    if (!json::sax_parse(bytes, &check, json::input_format_t::cbor)) {
-        return malformed("data is not CBOR or is nested too deeply");
-    }
-    return json::from_cbor(bytes);
-} catch (const std::exception &error) {
-    return malformed(error.what());
-}
-
 absl::StatusOr<std::vector<log_record>> decodeBatch(std::string_view payload)
 try {
     if (payload.size() > maxBatchBytes) {
         return malformed("batch of records has too many bytes");
     }
-    const auto batch = parseCbor(payload);
+    const auto batch = parseCbor(payload, failure::MalformedRecord);
     if (!batch.ok()) {
         return batch.status();
     }
