Name a refusal without a code by its status

What was seen: an engine that refuses a request with a body that is no JSON object, or whose `error` is no text, ends the entry VM by an exception that nothing catches (`type_error` of the JSON library).

Cause: `parseEngineRefusal` read the field from a null document, and read any type of value as text.

Change: the document is an empty object then, and only a text counts as the code. Otherwise the code is `status_NNN`, as for an absent code.

Test: endpoint_calls/refusalsWithoutACodeAreNamedByTheirStatus (new), ended by the exception before.

--- a/shell/endpoint_replies.cpp
+++ b/shell/endpoint_replies.cpp
@@ -22,11 +22,11 @@
 // Refusals that an engine sends before any work.
 constexpr refusal_code refusalsBeforeWork[]{{503, "queue_full"}, {503, "memory_full"}, {409, "cancelled"}, {410, "kv_evicted"}, {504, "transfer_stalled"}};
 
-// Returns a JSON object, or null for anything else.
+// Returns a JSON object, which is empty for anything else.
 json parseObject(std::string_view body)
 {
     auto value = json::parse(body.begin(), body.end(), nullptr, false);
-    return value.is_object() ? value : json{};
+    return value.is_object() ? value : json::object();
 }
 
 // Runs a reader of JSON fields. Returns false if a field is missing or has another type.
@@ -88,7 +88,11 @@
 
 engine_refusal parseEngineRefusal(int status, std::string_view body)
 {
-    std::string code = parseObject(body).value("error", std::string{});
+    const auto reply = parseObject(body);
+    std::string code;
+    if (const auto error = reply.find("error"); error != reply.end() && error->is_string()) {
+        code = error->get<std::string>();
+    }
     const bool refusedBeforeWork = std::any_of(std::begin(refusalsBeforeWork), std::end(refusalsBeforeWork), [&](const refusal_code &refusal) {
         return refusal.status == status && refusal.code == code;
     });
--- a/test/endpoint_client_test.cpp
+++ b/test/endpoint_client_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "endpoint_client.hpp"
+#include "endpoint_replies.hpp"
 #include "engine_event.hpp"
 #include "log_client.hpp"
 #include "shell_support.hpp"
@@ -142,6 +143,16 @@
     BOOST_TEST(!std::get<attempt_failed>(inputs[2]).mayHaveRun);
 }
 
+// Guards against a refusal whose body is no object, or whose code is no text, that ends the VM.
+BOOST_AUTO_TEST_CASE(refusalsWithoutACodeAreNamedByTheirStatus)
+{
+    for (const auto *body : {"", "<html>", "[]", "null", "{}", R"({"error":5})", R"({"error":null})"}) {
+        const auto refusal = parseEngineRefusal(503, body);
+        BOOST_TEST(refusal.code == "status_503", body);
+        BOOST_TEST(refusal.mayHaveRun, body);
+    }
+}
+
 // Guards against messages about an attempt after the core closed it while its stream was being read.
 BOOST_AUTO_TEST_CASE(closedAttemptSendsNoMessages)
 {
