Read replies of endpoints without copies of their fields

What was seen: a load report of 1 MB whose field `running`, `held` or `queue_ms` holds nested arrays ends the entry VM with an access violation.

Cause: the JSON library parses nested values in a loop, but copies them recursively. `parseObject` and the readers of the three fields copied.

Change: the document is moved, and fields are read in place or as their own type.

Test: endpoint_calls/deeplyNestedReportsAreNoReports (new), ended in an access violation before.

--- a/shell/endpoint_replies.cpp
+++ b/shell/endpoint_replies.cpp
@@ -22,11 +22,11 @@
 // Refusals that an engine sends before any work.
 constexpr refusal_code refusalsBeforeWork[]{{503, "queue_full"}, {503, "memory_full"}, {409, "cancelled"}, {410, "kv_evicted"}, {504, "transfer_stalled"}};
 
-// Returns a JSON object, which is empty for anything else.
+// Returns a JSON object, which is empty for anything else. No part of it is copied, as copies of deeply nested values use up the stack.
 json parseObject(std::string_view body)
 {
     auto value = json::parse(body.begin(), body.end(), nullptr, false);
-    return value.is_object() ? value : json::object();
+    return value.is_object() ? std::move(value) : json::object();
 }
 
 // Runs a reader of JSON fields. Returns false if a field is missing or has another type.
@@ -52,10 +52,14 @@
 }
 
 // Labels that cannot be parsed belong to other systems and are left out, as no attempt of this router matches them.
-std::vector<attempt_label> labelsOf(const json &texts)
+std::vector<attempt_label> labelsOf(const json &reply, const char *field)
 {
     std::vector<attempt_label> labels;
-    for (const auto &text : texts) {
+    const auto texts = reply.find(field);
+    if (texts == reply.end()) {
+        return labels;
+    }
+    for (const auto &text : *texts) {
         if (auto label = parseAttemptLabel(text.get_ref<const std::string &>())) {
             labels.push_back(std::move(*label));
         }
@@ -63,9 +67,9 @@
     return labels;
 }
 
-duration milliseconds(const json &value)
+duration milliseconds(const json &reply, const char *field)
 {
-    return std::chrono::milliseconds{value.get<std::int64_t>()};
+    return std::chrono::milliseconds{reply.value(field, std::int64_t{0})};
 }
 
 } // namespace
@@ -136,15 +140,15 @@
     report.reachable = readFields([&] {
         report.role = roleOf(reply.at("role").get_ref<const std::string &>());
         report.models = reply.value("models", std::vector<std::string>{});
-        report.running = labelsOf(reply.value("running", json::array()));
-        report.held = labelsOf(reply.value("held", json::array()));
+        report.running = labelsOf(reply, "running");
+        report.held = labelsOf(reply, "held");
         report.queued = reply.value("queued", 0);
-        report.queueTime = milliseconds(reply.value("queue_ms", json(0)));
+        report.queueTime = milliseconds(reply, "queue_ms");
         report.kvBlocksTotal = reply.value("pieces_total", 0);
         report.kvBlocksUsed = reply.value("pieces_used", 0);
         report.slotsTotal = reply.value("slots_total", 0);
         report.slotsUsed = reply.value("slots_used", 0);
-        report.age = milliseconds(reply.value("report_age_ms", json(0)));
+        report.age = milliseconds(reply, "report_age_ms");
     });
     return report.reachable ? report : load_report{.endpoint = endpoint};
 }
--- a/test/endpoint_client_test.cpp
+++ b/test/endpoint_client_test.cpp
@@ -153,6 +153,18 @@
     }
 }
 
+// Guards against reports of an endpoint with deeply nested fields that use up the stack and end the VM.
+BOOST_AUTO_TEST_CASE(deeplyNestedReportsAreNoReports)
+{
+    constexpr std::size_t depth = 500'000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const auto *field : {"running", "queue_ms", "models"}) {
+        BOOST_TEST(!parseLoadReport({"e-1"}, R"({"role":"decode",")" + std::string(field) + "\":" + nested + "}").reachable, field);
+    }
+    BOOST_TEST(parseEngineRefusal(503, R"({"error":)" + nested + "}").code == "status_503");
+    BOOST_TEST(!parsePrefillReply(label(), R"({"kv_id":)" + nested + "}").has_value());
+}
+
 // Guards against messages about an attempt after the core closed it while its stream was being read.
 BOOST_AUTO_TEST_CASE(closedAttemptSendsNoMessages)
 {
