--- a/shell/endpoint_replies.cpp
+++ b/shell/endpoint_replies.cpp
@@ -69,7 +69,8 @@
 
 duration milliseconds(const json &reply, const char *field)
 {
-    return std::chrono::milliseconds{reply.value(field, std::int64_t{0})};
+    constexpr double maxTime = 86'400'000; // A day. Larger numbers need not fit into a duration.
+    return std::chrono::milliseconds{static_cast<std::int64_t>(std::clamp(reply.value(field, 0.0), 0.0, maxTime))};
 }
 
 } // namespace
--- a/test/endpoint_client_test.cpp
+++ b/test/endpoint_client_test.cpp
@@ -165,6 +165,16 @@
     BOOST_TEST(!parsePrefillReply(label(), R"({"kv_id":)" + nested + "}").has_value());
 }
 
+// Guards against a time in a report that overflows a duration, so that an old report counts as new.
+BOOST_AUTO_TEST_CASE(timesOfReportsStayInRange)
+{
+    for (const auto *number : {"9223372036854775807", "-9223372036854775808", "1e300", "18446744073709551615"}) {
+        const auto report = parseLoadReport({"e-1"}, R"({"role":"decode","report_age_ms":)" + std::string(number) + "}");
+        BOOST_TEST((!report.reachable || report.age >= duration{}), number);
+    }
+    BOOST_TEST((parseLoadReport({"e-1"}, R"({"role":"decode","report_age_ms":9223372036854775807})").age > std::chrono::hours{1}));
+}
+
 // Guards against messages about an attempt after the core closed it while its stream was being read.
 BOOST_AUTO_TEST_CASE(closedAttemptSendsNoMessages)
 {
