--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "http_dialect.hpp"
+#include "plantainpoint/failure.hpp"
 #include "store_codec.hpp"
 
 using namespace plantainpoint;
@@ -184,6 +185,59 @@
     BOOST_TEST(!decodeMember("vm-1", "\xff"));
 }
 
+// Guards against numbers of a configuration that overflow: a time-out in the past refuses every request, a negative cost adds to a limit, an idle time of
+// zero keeps the processor busy, and a negative size is no bound.
+BOOST_AUTO_TEST_CASE(numbersOfAConfigurationStayInRange)
+{
+    for (const auto *const field : {"timeout_ms",
+                                    "slo_ms",
+                                    "gap_slo_ms",
+                                    "attempts",
+                                    "weight",
+                                    "slots",
+                                    "kv_tokens",
+                                    "handle_ttl_s",
+                                    "header_bytes",
+                                    "body_bytes",
+                                    "idle_ms",
+                                    "plain_tokens",
+                                    "rate_per_s",
+                                    "burst"}) {
+        for (const auto *const number : {"-1", "0", "1e300", "-1e300", "9223372036854775807", "18446744073709551615", "-9223372036854775808"}) {
+            auto text = configurationJson;
+            const auto begin = text.find('"' + std::string(field) + "\":") + std::string(field).size() + 3;
+            text.replace(begin, text.find_first_not_of("0123456789.", begin) - begin, number);
+            const auto config = decodeConfiguration(text);
+            BOOST_REQUIRE(config.ok());
+            constexpr auto day = std::chrono::hours{24};
+            bool inRange = true;
+            for (const auto &route : config->routes) {
+                inRange = inRange && route.attempts >= 1 && route.timeout >= duration{} && route.objective >= duration{} && route.gapObjective >= duration{};
+                inRange = inRange && route.timeout <= day && route.objective <= day && route.gapObjective <= day && route.services.front().weight >= 0;
+            }
+            const auto &profile = *config->services.front().engine;
+            inRange = inRange && profile.slots >= 1 && profile.kvTokens >= 0 && profile.handleLifetime >= duration{} && profile.handleLifetime <= day;
+            const auto &bounds = config->bounds;
+            inRange = inRange && bounds.headerSize >= 1 && bounds.headerSize <= 1'000'000'000 && bounds.bodySize <= 1'000'000'000
+                      && bounds.idleTime >= std::chrono::milliseconds{100} && bounds.idleTime <= day;
+            const auto &account = config->accounts.front();
+            inRange = inRange && account.plainCost >= 0 && account.rate >= 0 && account.burst >= 0;
+            BOOST_TEST(inRange, field << ": " << number);
+        }
+    }
+}
+
+// Guards against a route without services, whose first service the core would read from an empty list.
+BOOST_AUTO_TEST_CASE(routesWithoutServicesAreRefused)
+{
+    for (const auto *const split : {"[]", "{}", "null"}) {
+        auto text = configurationJson;
+        const auto begin = text.find(R"("split":)") + 8;
+        text.replace(begin, text.find(']', begin) + 1 - begin, split);
+        BOOST_TEST((failureOf(decodeConfiguration(text).status()) == failure::InvalidConfiguration), split);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(platform_headers)
@@ -280,46 +334,4 @@
     BOOST_TEST(!dialect.belongs(fieldsOf({{"X-Request-Id", "id-2"}}), "id-1"));
 }
 
-// Guards against numbers of a configuration that overflow: a time-out in the past refuses every request, a negative cost adds to a limit, an idle time of
-// zero keeps the processor busy, and a negative size is no bound.
-BOOST_AUTO_TEST_CASE(numbersOfAConfigurationStayInRange)
-{
-    for (const auto *const field : {"timeout_ms",
-                                    "slo_ms",
-                                    "gap_slo_ms",
-                                    "attempts",
-                                    "weight",
-                                    "slots",
-                                    "kv_tokens",
-                                    "handle_ttl_s",
-                                    "header_bytes",
-                                    "body_bytes",
-                                    "idle_ms",
-                                    "plain_tokens",
-                                    "rate_per_s",
-                                    "burst"}) {
-        for (const auto *const number : {"-1", "0", "1e300", "-1e300", "9223372036854775807", "18446744073709551615", "-9223372036854775808"}) {
-            auto text = configurationJson;
-            const auto begin = text.find('"' + std::string(field) + "\":") + std::string(field).size() + 3;
-            text.replace(begin, text.find_first_not_of("0123456789.", begin) - begin, number);
-            const auto config = decodeConfiguration(text);
-            BOOST_REQUIRE(config.ok());
-            constexpr auto day = std::chrono::hours{24};
-            bool inRange = true;
-            for (const auto &route : config->routes) {
-                inRange = inRange && route.attempts >= 1 && route.timeout >= duration{} && route.objective >= duration{} && route.gapObjective >= duration{};
-                inRange = inRange && route.timeout <= day && route.objective <= day && route.gapObjective <= day && route.services.front().weight >= 0;
-            }
-            const auto &profile = *config->services.front().engine;
-            inRange = inRange && profile.slots >= 1 && profile.kvTokens >= 0 && profile.handleLifetime >= duration{} && profile.handleLifetime <= day;
-            const auto &bounds = config->bounds;
-            inRange = inRange && bounds.headerSize >= 1 && bounds.headerSize <= 1'000'000'000 && bounds.bodySize <= 1'000'000'000
-                      && bounds.idleTime >= std::chrono::milliseconds{100} && bounds.idleTime <= day;
-            const auto &account = config->accounts.front();
-            inRange = inRange && account.plainCost >= 0 && account.rate >= 0 && account.burst >= 0;
-            BOOST_TEST(inRange, field << ": " << number);
-        }
-    }
-}
-
 BOOST_AUTO_TEST_SUITE_END()
