--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -409,4 +409,14 @@
     BOOST_TEST(lastState.lastChange == 3);
 }
 
+// Guards against a key of another writer that breaks the request for the next page, so that the workers are never known.
+BOOST_AUTO_TEST_CASE(keysAreEscapedInRequests)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w 1&part=1\r\nX: y"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w%201%26part%3D1%0D%0AX%3A%20y HTTP/1.1", workersPage(3, {"w-2"}, false));
+    BOOST_REQUIRE(runUntil(io, [&] { return addresses.contains("w-2"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
