--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -419,4 +419,21 @@
     BOOST_REQUIRE(runUntil(io, [&] { return addresses.contains("w-2"); }));
 }
 
+// Guards against pages that repeat each other and are read without an end.
+BOOST_AUTO_TEST_CASE(pagesThatRepeatEachOtherEndTheRead)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(2, {"w-1"}, true));
+    runUntil(
+        io, [] { return false; }, std::chrono::milliseconds{200});
+    const auto requestsForNextPage = [](auto &each) {
+        const std::string target = std::string(newestWorkersTarget) + "&part=0&after=w-1";
+        const auto first = each.received().find(target);
+        return first != std::string::npos && each.received().find(target, first + 1) != std::string::npos;
+    };
+    BOOST_TEST(std::none_of(connections.begin(), connections.end(), requestsForNextPage));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
