Keep the answer of the VM list while it is read

What was seen: AddressSanitizer reports a use after free in `parseVmList` for a valid list. Without it, the entry VM reads freed memory at each read of the list.

Cause: the loop ran over a part of the parsed document, which is a temporary value that ends before the first step of the loop.

Change: the document is kept in a variable.

--- a/shell/vm_list_client.cpp
+++ b/shell/vm_list_client.cpp
@@ -59,7 +59,8 @@
 {
     try {
         vm_list result;
-        for (const auto &item : json::parse(body.begin(), body.end()).at("vms")) {
+        const auto reply = json::parse(body.begin(), body.end());
+        for (const auto &item : reply.at("vms")) {
             auto entry = entryOf(item);
             // Skips a VM whose address cannot be parsed, as it cannot be a peer.
             if (parseAddress(entry.peerAddress)) {
