--- a/test/cbor_test.cpp
+++ b/test/cbor_test.cpp
@@ -1,5 +1,6 @@
 // Tests that malformed CBOR from outside is refused.
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "fleet_codec.hpp"
 #include "log_client.hpp"
@@ -21,4 +22,14 @@
     BOOST_TEST(std::holds_alternative<log_read_failed>(parseReadReply(time_point{}, 200, nested)));
 }
 
+// Guards against a position that is no whole number, whose conversion is undefined and differs between processors.
+BOOST_AUTO_TEST_CASE(positionsOfChangesAreWholeNumbers)
+{
+    for (const auto &position : {nlohmann::json(-1.5), nlohmann::json(1e300), nlohmann::json(-1), nlohmann::json(true)}) {
+        std::string bytes;
+        nlohmann::json::to_cbor({{position, "w-1"}}, bytes);
+        BOOST_TEST((failureOf(platform::decodeChanges(bytes).status()) == failure::MalformedMessage), position.dump());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
