Check the whole numbers of fleet messages

What was seen: UndefinedBehaviorSanitizer reports a conversion out of range in `decodeFleetMessage` for a number of -48928.0. A time of more than 2,147 s in microseconds loses its upper bits and can become negative.

Cause: the JSON library converts any number to the type that is asked for.

Change: a fraction is malformed, and a whole number is limited to the range of its type.

--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -1,6 +1,9 @@
 #include "fleet_codec.hpp"
 
 #include <cmath>
+#include <limits>
+#include <stdexcept>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -39,6 +42,26 @@
     return value;
 }
 
+// Returns a whole number, limited to the range of its type. A fraction is malformed, as its conversion is undefined outside of the range.
+template<class Number>
+Number wholeNumber(const json &in)
+{
+    if (!in.is_number_integer()) {
+        throw std::invalid_argument("fleet message: expected a whole number");
+    }
+    constexpr auto low = std::numeric_limits<Number>::min();
+    constexpr auto high = std::numeric_limits<Number>::max();
+    if (in.is_number_unsigned()) {
+        const auto value = in.get<std::uint64_t>();
+        return std::cmp_greater(value, high) ? high : static_cast<Number>(value);
+    }
+    const auto value = in.get<std::int64_t>();
+    if (std::cmp_less(value, low)) {
+        return low;
+    }
+    return std::cmp_greater(value, high) ? high : static_cast<Number>(value);
+}
+
 json encodeKnowledge(const directory_knowledge &knowledge)
 {
     json out{knowledge.configVersion,
@@ -55,15 +78,15 @@
 
 directory_knowledge decodeKnowledge(const json &in)
 {
-    directory_knowledge knowledge{.configVersion = in.at(0).get<std::uint64_t>(),
-                                  .configSize = in.at(1).get<std::size_t>(),
-                                  .endpointEntries = in.at(5).get<std::size_t>(),
-                                  .position = in.at(2).get<std::uint64_t>(),
-                                  .lastChange = in.at(3).get<std::uint64_t>(),
-                                  .reannounceLeft = milliseconds{in.at(4).get<std::uint32_t>()}};
+    directory_knowledge knowledge{.configVersion = wholeNumber<std::uint64_t>(in.at(0)),
+                                  .configSize = wholeNumber<std::size_t>(in.at(1)),
+                                  .endpointEntries = wholeNumber<std::size_t>(in.at(5)),
+                                  .position = wholeNumber<std::uint64_t>(in.at(2)),
+                                  .lastChange = wholeNumber<std::uint64_t>(in.at(3)),
+                                  .reannounceLeft = milliseconds{wholeNumber<std::uint32_t>(in.at(4))}};
     constexpr std::size_t proofIndex = 6;
     if (in.size() > proofIndex) {
-        knowledge.proofAge = milliseconds{in.at(proofIndex).get<std::uint32_t>()};
+        knowledge.proofAge = milliseconds{wholeNumber<std::uint32_t>(in.at(proofIndex))};
     }
     return knowledge;
 }
@@ -75,7 +98,7 @@
 
 fleet_member decodeMember(const json &in)
 {
-    return {{in.at(0).get<std::string>()}, in.at(1).get<std::string>(), {in.at(2).get<std::string>()}, in.at(3).get<std::int64_t>()};
+    return {{in.at(0).get<std::string>()}, in.at(1).get<std::string>(), {in.at(2).get<std::string>()}, wholeNumber<std::int64_t>(in.at(3))};
 }
 
 template<class Element, class Encode>
@@ -120,10 +143,13 @@
 void decodeTotals(const json &in, Message &message)
 {
     message.loads = decodeList<endpoint_load>(in.at(0), [](const json &load) {
-        return endpoint_load{{load.at(0).get<std::string>()}, load.at(1).get<std::int32_t>(), load.at(2).get<std::int64_t>(), load.at(3).get<std::int64_t>()};
+        return endpoint_load{{load.at(0).get<std::string>()},
+                             wholeNumber<std::int32_t>(load.at(1)),
+                             wholeNumber<std::int64_t>(load.at(2)),
+                             wholeNumber<std::int64_t>(load.at(3))};
     });
     message.waiting = decodeList<waiting_count>(in.at(1), [](const json &waiting) {
-        return waiting_count{{waiting.at(0).get<std::string>()}, waiting.at(1).get<std::int32_t>()};
+        return waiting_count{{waiting.at(0).get<std::string>()}, wholeNumber<std::int32_t>(waiting.at(1))};
     });
     message.changingRole = decodeList<endpoint_name>(in.at(2), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
     message.usage = decodeList<account_usage>(in.at(3), [](const json &usage) {
@@ -135,8 +161,8 @@
 {
     fleet_heartbeat heartbeatMessage;
     const auto member = decodeMember(in.at(1));
-    heartbeatMessage.from = {member.vm, in.at(2).get<std::uint64_t>()};
-    heartbeatMessage.sequence = in.at(3).get<std::uint64_t>();
+    heartbeatMessage.from = {member.vm, wholeNumber<std::uint64_t>(in.at(2))};
+    heartbeatMessage.sequence = wholeNumber<std::uint64_t>(in.at(3));
     heartbeatMessage.address = member.address;
     heartbeatMessage.dataCentre = member.dataCentre;
     heartbeatMessage.capacity = member.capacity;
@@ -145,7 +171,7 @@
     heartbeatMessage.knowledge = decodeKnowledge(in.at(6));
     decodeTotals(in.at(7), heartbeatMessage);
     heartbeatMessage.outcomes = decodeList<endpoint_outcomes>(in.at(8), [](const json &outcomes) {
-        return endpoint_outcomes{{outcomes.at(0).get<std::string>()}, outcomes.at(1).get<std::uint16_t>(), outcomes.at(2).get<std::uint16_t>()};
+        return endpoint_outcomes{{outcomes.at(0).get<std::string>()}, wholeNumber<std::uint16_t>(outcomes.at(1)), wholeNumber<std::uint16_t>(outcomes.at(2))};
     });
     return heartbeatMessage;
 }
@@ -157,36 +183,36 @@
 
 duration readMicroseconds(const json &in)
 {
-    return std::chrono::microseconds{in.get<std::int32_t>()};
+    return std::chrono::microseconds{wholeNumber<std::int32_t>(in)};
 }
 
 placement_ask readAsk(const json &in)
 {
-    placement_ask ask{.from = {{in.at(1).get<std::string>()}, in.at(2).get<std::uint64_t>()},
+    placement_ask ask{.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
                       .address = in.at(3).get<std::string>(),
-                      .number = in.at(4).get<std::uint64_t>(),
-                      .heartbeat = in.at(5).get<std::uint64_t>(),
+                      .number = wholeNumber<std::uint64_t>(in.at(4)),
+                      .heartbeat = wholeNumber<std::uint64_t>(in.at(5)),
                       .cancelled = in.at(6).get<bool>()};
     if (ask.cancelled) {
         return ask;
     }
     ask.service.value = in.at(7).get<std::string>();
     if (const auto &tokens = in.at(8); !tokens.empty()) {
-        ask.tokens = token_count{tokens.at(0).get<std::int64_t>(), tokens.at(1).get<std::int64_t>(), {}};
+        ask.tokens = token_count{wholeNumber<std::int64_t>(tokens.at(0)), wholeNumber<std::int64_t>(tokens.at(1)), {}};
         constexpr std::size_t likelyIndex = 2;
         if (tokens.size() > likelyIndex) {
-            ask.tokens->likelyOutput = tokens.at(likelyIndex).get<std::int64_t>();
+            ask.tokens->likelyOutput = wholeNumber<std::int64_t>(tokens.at(likelyIndex));
         }
     }
     ask.mayPrefill = in.at(9).get<bool>();
-    ask.priority = in.at(10).get<std::int32_t>();
+    ask.priority = wholeNumber<std::int32_t>(in.at(10));
     ask.age = readMicroseconds(in.at(11));
     ask.objective = readMicroseconds(in.at(12));
     ask.timeLeft = readMicroseconds(in.at(13));
     ask.maxEventGap = readMicroseconds(in.at(14));
     ask.holdTime = readMicroseconds(in.at(15));
     ask.excluded = decodeList<endpoint_name>(in.at(16), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
-    ask.seed = in.at(17).get<std::uint64_t>();
+    ask.seed = wholeNumber<std::uint64_t>(in.at(17));
     ask.account.value = in.at(18).get<std::string>();
     ask.units = in.at(19).get<double>();
     return ask;
@@ -195,10 +221,10 @@
 placement_grant readGrant(const json &in)
 {
     constexpr auto lastResult = static_cast<unsigned>(placement_result::LimitReached);
-    return {.from = {{in.at(1).get<std::string>()}, in.at(2).get<std::uint64_t>()},
-            .receiverIncarnation = in.at(3).get<std::uint64_t>(),
-            .number = in.at(4).get<std::uint64_t>(),
-            .result = static_cast<placement_result>(std::min(in.at(5).get<unsigned>(), lastResult)),
+    return {.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
+            .receiverIncarnation = wholeNumber<std::uint64_t>(in.at(3)),
+            .number = wholeNumber<std::uint64_t>(in.at(4)),
+            .result = static_cast<placement_result>(std::min(wholeNumber<unsigned>(in.at(5)), lastResult)),
             .prefill = {in.at(6).get<std::string>()},
             .serving = {in.at(7).get<std::string>()},
             .expectedWait = readMicroseconds(in.at(8))};
@@ -208,8 +234,8 @@
 {
     fleet_summary summary;
     const auto member = decodeMember(in.at(1));
-    summary.from = {member.vm, in.at(2).get<std::uint64_t>()};
-    summary.sequence = in.at(3).get<std::uint64_t>();
+    summary.from = {member.vm, wholeNumber<std::uint64_t>(in.at(2))};
+    summary.sequence = wholeNumber<std::uint64_t>(in.at(3));
     summary.address = member.address;
     summary.dataCentre = member.dataCentre;
     summary.capacity = member.capacity;
@@ -217,13 +243,13 @@
     summary.settled = in.at(5).get<bool>();
     summary.knowledge = decodeKnowledge(in.at(6));
     decodeTotals(in.at(7), summary);
-    summary.scope = static_cast<summary_scope>(std::min<unsigned>(in.at(8).get<unsigned>(), static_cast<unsigned>(summary_scope::Fleet)));
-    summary.changesFrom = in.at(9).get<std::uint64_t>();
+    summary.scope = static_cast<summary_scope>(std::min<unsigned>(wholeNumber<unsigned>(in.at(8)), static_cast<unsigned>(summary_scope::Fleet)));
+    summary.changesFrom = wholeNumber<std::uint64_t>(in.at(9));
     if (auto changes = in.at(10).get<std::string>(); !changes.empty()) {
         summary.changes = std::make_shared<const std::string>(std::move(changes));
     }
-    summary.heardVms = in.at(11).get<std::int32_t>();
-    summary.memberVms = in.at(12).get<std::int32_t>();
+    summary.heardVms = wholeNumber<std::int32_t>(in.at(11));
+    summary.memberVms = wholeNumber<std::int32_t>(in.at(12));
     summary.candidates = decodeList<fleet_member>(in.at(13), decodeMember);
     summary.hasLoads = in.at(14).get<bool>();
     return summary;
@@ -381,6 +407,8 @@
         return checked(std::move(summary));
     } catch (const json::exception &error) {
         return makeStatus(failure::MalformedMessage, error.what());
+    } catch (const std::invalid_argument &error) {
+        return makeStatus(failure::MalformedMessage, error.what());
     }
 }
 
--- a/test/cbor_test.cpp
+++ b/test/cbor_test.cpp
@@ -32,4 +32,21 @@
     }
 }
 
+// Guards against a number of a message that is no whole number, whose conversion is undefined, or that loses its upper bits: a wait of an hour in
+// microseconds became a negative one.
+BOOST_AUTO_TEST_CASE(numbersOfFleetMessagesAreChecked)
+{
+    placement_grant grant{.from = {{"vm-2"}, 3}, .receiverIncarnation = 1, .number = 4, .serving = {"w-1"}, .expectedWait = std::chrono::hours{1}};
+    const auto decoded = decodeFleetMessage(encodeGrant(grant));
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST((std::get<placement_grant>(*decoded).expectedWait > std::chrono::minutes{30}));
+    for (const auto &number : {nlohmann::json(-1.5), nlohmann::json(1e300), nlohmann::json(4.0)}) {
+        auto fields = nlohmann::json::from_cbor(encodeGrant(grant).substr(1));
+        fields[4] = number;
+        std::string bytes = "G";
+        nlohmann::json::to_cbor(fields, bytes);
+        BOOST_TEST((failureOf(decodeFleetMessage(bytes).status()) == failure::MalformedMessage), number.dump());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
