--- a/include/plantainpoint/cbor.hpp
+++ b/include/plantainpoint/cbor.hpp
@@ -1,4 +1,4 @@
-// Reader of CBOR documents from other machines.
+// Parser of CBOR from other machines.
 #pragma once
 
 #include <string_view>
@@ -6,10 +6,12 @@
 #include <absl/status/statusor.h>
 #include <nlohmann/json_fwd.hpp>
 
+#include "plantainpoint/failure.hpp"
+
 namespace plantainpoint {
 
-// Returns MalformedMessage if the bytes are not one document, or if it is nested more than 16 levels deep. The library's own reader calls itself for
-// each level, so that a datagram of nested arrays would use up the stack.
-absl::StatusOr<nlohmann::json> parseCbor(std::string_view bytes);
+// Parses untrusted CBOR. Returns the failure with a description of the error if the bytes are not one CBOR document or are nested more than 16 levels
+// deep. The JSON library's own reader builds nested values recursively, so that a datagram of nested arrays would use up the stack.
+absl::StatusOr<nlohmann::json> parseCbor(std::string_view bytes, failure reason);
 
 } // namespace plantainpoint
--- a/shell/log_client.cpp
+++ b/shell/log_client.cpp
@@ -82,7 +82,7 @@
     if (status != statusOk) {
         return log_read_failed{.sentAt = sentAt};
     }
-    const auto document = parseCbor(body);
+    const auto document = parseCbor(body, failure::MalformedMessage);
     if (!document.ok()) {
         return log_read_failed{.sentAt = sentAt};
     }
--- a/src/cbor.cpp
+++ b/src/cbor.cpp
@@ -1,5 +1,6 @@
 #include "plantainpoint/cbor.hpp"
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -85,13 +86,15 @@
 
 } // namespace
 
-absl::StatusOr<json> parseCbor(std::string_view bytes)
-{
+absl::StatusOr<json> parseCbor(std::string_view bytes, failure reason)
+try {
     document_builder builder;
-    if (!json::sax_parse(bytes, &builder, json::input_format_t::cbor)) {
-        return makeStatus(failure::MalformedMessage, "document is not valid CBOR: " + builder.error());
+    if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor)) {
+        return makeStatus(reason, "document is not valid CBOR: " + builder.error());
     }
     return builder.takeDocument();
+} catch (const json::exception &error) {
+    return makeStatus(reason, error.what());
 }
 
 } // namespace plantainpoint
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -1,6 +1,7 @@
 #include "plantainpoint/records.hpp"
 
 #include "plantainpoint/cbor.hpp"
+#include "plantainpoint/failure.hpp"
 #include "record_fields.hpp"
 
 namespace plantainpoint {
@@ -111,10 +112,9 @@
     if (payload.size() > maxBatchBytes) {
         return malformed("batch of records has too many bytes");
     }
-    const auto batch = parseCbor(payload);
+    const auto batch = parseCbor(payload, failure::MalformedRecord);
     if (!batch.ok()) {
-        const auto text = batch.status().message();
-        return malformed({text.data(), text.size()});
+        return batch.status();
     }
     if (!batch->is_array() || batch->size() > maxRecordsPerBatch) {
         return malformed("batch is not a list of records or has too many records");
--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -189,4 +189,85 @@
     BOOST_TEST(requestsForAll() == before);
 }
 
+// Guards against a record that was written between two pages and is missing at other VMs for good: the later page contains it, so that its record in the
+// log changes nothing here, and a VM that has read up to the first page takes over the position without it.
+BOOST_AUTO_TEST_CASE(recordsThatALaterPageContainsAreChanges)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(3, {"w-2"}, false));
+    serveRequest(std::string(readWorkersTarget) + "&part=0&from=2", logPage(3, 0, encodeKeyedRecord("w-2", workerEntry("10.0.0.1:1"))));
+    BOOST_REQUIRE(runUntil(io, [&] { return lastState.position == 3; }));
+    BOOST_TEST(lastState.lastChange == 3);
+    addresses.clear();
+    store_reader behind{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
+    behind.importState(encodeState({{"w-1", workerEntry("10.0.0.1:1")}}, 2));
+    behind.importState(reader.exportState(behind.missingState()));
+    BOOST_TEST(addresses["w-2"] == "10.0.0.1:1");
+}
+
+// Guards against the same for a worker that was removed between two pages.
+BOOST_AUTO_TEST_CASE(removalsThatALaterPageContainsAreChanges)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(3, {"w-3"}, false));
+    serveRequest(std::string(readWorkersTarget) + "&part=0&from=2", logPage(3, 0, encodeKeyedRecord("w-2", "")));
+    BOOST_REQUIRE(runUntil(io, [&] { return lastState.position == 3; }));
+    BOOST_TEST(lastState.lastChange == 3);
+    store_reader behind{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
+    behind.importState(encodeState({{"w-1", workerEntry("10.0.0.1:1")}, {"w-2", workerEntry("10.0.0.1:1")}, {"w-3", workerEntry("10.0.0.1:1")}}, 2));
+    BOOST_TEST(addresses["w-2"] == "10.0.0.1:1");
+    behind.importState(reader.exportState(behind.missingState()));
+    BOOST_TEST(addresses["w-2"].empty());
+}
+
+// Guards against the same at a VM that took over the pages before the log was read on.
+BOOST_AUTO_TEST_CASE(recordsThatImportedPagesContainAreChanges)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(3, {"w-2"}, false));
+    auto *const readOfLog = requestFor(std::string(readWorkersTarget) + "&part=0&from=2");
+    BOOST_REQUIRE(readOfLog != nullptr);
+    store_reader other{io, http, options, [this](relay_input message) { receive(std::move(message)); }, logger};
+    other.importState(reader.exportState(other.missingState()));
+    answer(*readOfLog, logPage(3, 0, encodeKeyedRecord("w-2", workerEntry("10.0.0.1:1"))));
+    BOOST_REQUIRE(runUntil(io, [&] { return lastState.position == 3; }));
+    lastState = {};
+    other.importState(reader.exportState(other.missingState()));
+    BOOST_TEST(lastState.position == 3);
+    BOOST_TEST(lastState.lastChange == 3);
+}
+
+// Guards against a key of another writer that breaks the request for the next page, so that the workers are never known.
+BOOST_AUTO_TEST_CASE(keysAreEscapedInRequests)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w 1&part=1\r\nX: y"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w%201%26part%3D1%0D%0AX%3A%20y HTTP/1.1", workersPage(3, {"w-2"}, false));
+    BOOST_REQUIRE(runUntil(io, [&] { return addresses.contains("w-2"); }));
+}
+
+// Guards against pages that repeat each other and are read without an end.
+BOOST_AUTO_TEST_CASE(pagesThatRepeatEachOtherEndTheRead)
+{
+    startReading();
+    serveConfiguration();
+    serveRequest(newestWorkersTarget, workersPage(2, {"w-1"}, true));
+    serveRequest(std::string(newestWorkersTarget) + "&part=0&after=w-1", workersPage(2, {"w-1"}, true));
+    runUntil(
+        io, [] { return false; }, std::chrono::milliseconds{200});
+    const auto requestsForNextPage = [](auto &each) {
+        const std::string target = std::string(newestWorkersTarget) + "&part=0&after=w-1";
+        const auto first = each.received().find(target);
+        return first != std::string::npos && each.received().find(target, first + 1) != std::string::npos;
+    };
+    BOOST_TEST(std::none_of(connections.begin(), connections.end(), requestsForNextPage));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
