--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -1,6 +1,5 @@
 #include "caller_session.hpp"
 
-#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -8,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "http_headers.hpp"
+#include "parser_input.hpp"
 #include "request_head.hpp"
 
 namespace plantainpoint {
@@ -124,7 +124,7 @@
     }
     boost::beast::error_code error;
     while (m_input.size() > 0 && !m_parser->is_done()) {
-        m_input.consume(put(error));
+        m_input.consume(putBytes(*m_parser, m_input.data(), error));
         if (error) {
             break;
         }
@@ -156,18 +156,6 @@
     }
 }
 
-// Passes the input to the parser. Returns the number of bytes that it has taken.
-std::size_t caller_session::put(boost::beast::error_code &error)
-{
-    try {
-        return m_parser->put(m_input.data(), error);
-    } catch (const std::length_error &) {
-        // The library holds no header whose name or value exceeds 64 KB.
-        error = http::error::header_limit;
-        return 0;
-    }
-}
-
 absl::Status caller_session::checkHead() const
 {
     const auto &head = m_parser->get().base();
--- a/test/endpoint_client_test.cpp
+++ b/test/endpoint_client_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "endpoint_client.hpp"
+#include "endpoint_replies.hpp"
 #include "engine_event.hpp"
 #include "log_client.hpp"
 #include "shell_support.hpp"
@@ -142,6 +143,38 @@
     BOOST_TEST(!std::get<attempt_failed>(inputs[2]).mayHaveRun);
 }
 
+// Guards against a refusal whose body is no object, or whose code is no text, that ends the VM.
+BOOST_AUTO_TEST_CASE(refusalsWithoutACodeAreNamedByTheirStatus)
+{
+    for (const auto *body : {"", "<html>", "[]", "null", "{}", R"({"error":5})", R"({"error":null})"}) {
+        const auto refusal = parseEngineRefusal(503, body);
+        BOOST_TEST(refusal.code == "status_503", body);
+        BOOST_TEST(refusal.mayHaveRun, body);
+    }
+}
+
+// Guards against reports of an endpoint with deeply nested fields that use up the stack and end the VM.
+BOOST_AUTO_TEST_CASE(deeplyNestedReportsAreNoReports)
+{
+    constexpr std::size_t depth = 500'000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const auto *field : {"running", "queue_ms", "models"}) {
+        BOOST_TEST(!parseLoadReport({"e-1"}, R"({"role":"decode",")" + std::string(field) + "\":" + nested + "}").reachable, field);
+    }
+    BOOST_TEST(parseEngineRefusal(503, R"({"error":)" + nested + "}").code == "status_503");
+    BOOST_TEST(!parsePrefillReply(label(), R"({"kv_id":)" + nested + "}").has_value());
+}
+
+// Guards against a time in a report that overflows a duration, so that an old report counts as new.
+BOOST_AUTO_TEST_CASE(timesOfReportsStayInRange)
+{
+    for (const auto *number : {"9223372036854775807", "-9223372036854775808", "1e300", "18446744073709551615"}) {
+        const auto report = parseLoadReport({"e-1"}, R"({"role":"decode","report_age_ms":)" + std::string(number) + "}");
+        BOOST_TEST((!report.reachable || report.age >= duration{}), number);
+    }
+    BOOST_TEST((parseLoadReport({"e-1"}, R"({"role":"decode","report_age_ms":9223372036854775807})").age > std::chrono::hours{1}));
+}
+
 // Guards against messages about an attempt after the core closed it while its stream was being read.
 BOOST_AUTO_TEST_CASE(closedAttemptSendsNoMessages)
 {
--- a/test/store_fixture.hpp
+++ b/test/store_fixture.hpp
@@ -140,6 +140,16 @@
         return nlohmann::json{{"end", end}, {"has_more", false}, {"items", {{{"key", name}, {"value", absl::Base64Escape(value)}}}}}.dump();
     }
 
+    // Returns a page of workers that all have the same address.
+    static std::string workersPage(std::uint64_t end, const std::vector<std::string> &names, bool more)
+    {
+        auto items = nlohmann::json::array();
+        for (const auto &name : names) {
+            items.push_back({{"key", name}, {"value", absl::Base64Escape(workerEntry("10.0.0.1:1"))}});
+        }
+        return nlohmann::json{{"end", end}, {"has_more", more}, {"items", items}}.dump();
+    }
+
     // Serves the reads of the configuration, which the tests of workers do not need.
     void serveConfiguration()
     {
