--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -324,6 +324,16 @@
     BOOST_TEST(worker_dialect{}.prefillHandle(R"({"kv_handle":"h1","tokens":3,"version":1})").value_or("") == "h1");
     BOOST_TEST(!worker_dialect{}.prefillHandle("x"));
     BOOST_TEST(!worker_dialect{}.prefillHandle(R"({"kv_handle":3})"));
+    // A handle goes into a header and into a path.
+    for (const auto &handle : {std::string("h\\r\\nX-Tenant: t"),
+                               std::string("h/../x"),
+                               std::string("h?a"),
+                               std::string("h#a"),
+                               std::string("a b"),
+                               std::string(),
+                               std::string(300, 'h')}) {
+        BOOST_TEST(!worker_dialect{}.prefillHandle("{\"kv_handle\":\"" + handle + "\"}"), handle);
+    }
 }
 
 // Guards against an answer to another request, an encoded body, or an unstamped success being accepted as the worker's answer.
