--- a/fuzz/sources.cmake
+++ b/fuzz/sources.cmake
@@ -14,7 +14,8 @@
 endforeach()
 
 # The targets for the parsers of bytes from outside. The unit tests run them too.
-file(GLOB BYTES_TARGETS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/fuzz/bytes/*targets.cpp)
+# Those that hold messages of the users' platform stand with its tests.
+file(GLOB BYTES_TARGETS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/fuzz/bytes/*targets.cpp ${CMAKE_SOURCE_DIR}/test/bytes/*targets.cpp)
 add_library(bytes_targets STATIC EXCLUDE_FROM_ALL ${BYTES_TARGETS})
 target_include_directories(bytes_targets PUBLIC ${CMAKE_SOURCE_DIR}/fuzz/bytes PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR}/test)
 target_link_libraries(bytes_targets PUBLIC plantainpoint_platform)
