--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -97,7 +97,9 @@
     for (auto &each : requests) {
         each.traits = sortedTraits(std::move(each.traits));
     }
-    for (auto &[traits, item] : m_entries) {
+    for (auto &known : m_entries) {
+        const auto &traits = known.first;
+        auto &item = known.second;
         const bool listed = std::any_of(requests.begin(), requests.end(), [&](const auto &each) { return each.traits == traits; });
         // The VM that released it could not tell this one.
         if (item.stored && !listed && item.fromDirectory && item.isActive(now)) {
