Recognise crashes whose listener outlives the connections

Cause: an endpoint counted as ended only if one connection, 50 ms after an answer broke off, was refused.

Change: a check watches its connection for a second. The system ends it with the listener, and the next connection is refused. A check that was not refused has a log line.

--- a/shell/endpoint_check.cpp
+++ b/shell/endpoint_check.cpp
@@ -1,5 +1,6 @@
 #include "endpoint_check.hpp"
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -17,40 +18,80 @@
 namespace {
 
 constexpr auto checkDelay = std::chrono::milliseconds{50}; // A process that ends may close its connections before the socket that listens.
-constexpr auto checkTime = std::chrono::milliseconds{500}; // An address without a listener refuses a connection within a round trip.
+constexpr auto connectTime = std::chrono::milliseconds{500}; // An address without a listener refuses a connection within a round trip.
+// A busy machine may take this long to close the socket of a process that has ended.
+constexpr auto watchTime = std::chrono::milliseconds{1000};
+constexpr auto initialRetryDelay = std::chrono::milliseconds{20}; // Pause between a connection that ended and the next one. It doubles each time.
 
-class connection_attempt : public std::enable_shared_from_this<connection_attempt>
+// Connects to the endpoint and watches the connection: the system ends it when the listener goes, and the next one is then refused.
+class endpoint_watch : public std::enable_shared_from_this<endpoint_watch>
 {
 public:
-    connection_attempt(asio::io_context &io, endpoint_name endpoint, std::function<void(endpoint_checked)> handler)
+    endpoint_watch(asio::io_context &io, endpoint_name endpoint, const asio::ip::tcp::endpoint &address, std::function<void(endpoint_checked)> handler)
         : m_socket(io)
         , m_timer(io)
         , m_endpoint(std::move(endpoint))
+        , m_address(address)
         , m_handler(std::move(handler))
     {
     }
 
-    void start(const asio::ip::tcp::endpoint &address)
+    void start()
     {
-        m_timer.expires_after(checkDelay);
-        m_timer.async_wait([self = shared_from_this(), address](const boost::system::error_code &error) {
-            if (!error) {
-                self->connect(address);
+        m_endsAt = std::chrono::steady_clock::now() + checkDelay + watchTime;
+        connectAfter(checkDelay);
+    }
+
+private:
+    void connectAfter(std::chrono::milliseconds delay) { wait(std::chrono::steady_clock::now() + delay, &endpoint_watch::connect); }
+
+    void connect()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= m_endsAt) {
+            finish(false);
+            return;
+        }
+        wait(now + connectTime, &endpoint_watch::giveUp);
+        m_socket.async_connect(m_address, [self = shared_from_this()](const boost::system::error_code &error) { self->onConnected(error); });
+    }
+
+    void onConnected(const boost::system::error_code &error)
+    {
+        if (error) {
+            finish(error == asio::error::connection_refused);
+            return;
+        }
+        wait(m_endsAt, &endpoint_watch::giveUp);
+        m_socket.async_read_some(asio::buffer(m_byte), [self = shared_from_this()](const boost::system::error_code &readError, std::size_t) {
+            if (self->m_handler) {
+                self->onConnectionEnded(readError);
             }
         });
     }
 
-private:
-    void connect(const asio::ip::tcp::endpoint &address)
+    void onConnectionEnded(const boost::system::error_code &error)
+    {
+        // Bytes without a request come from a process that runs.
+        if (!error) {
+            finish(false);
+            return;
+        }
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        connectAfter(std::exchange(m_retryDelay, m_retryDelay * 2));
+    }
+
+    void giveUp() { finish(false); }
+
+    void wait(std::chrono::steady_clock::time_point until, void (endpoint_watch::*next)())
     {
-        m_timer.expires_after(checkTime);
-        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
-            if (!error) {
-                self->finish(false);
+        m_timer.expires_at(until);
+        m_timer.async_wait([self = shared_from_this(), next](const boost::system::error_code &error) {
+            if (!error && self->m_handler) {
+                (self.get()->*next)();
             }
         });
-        m_socket.async_connect(address,
-                               [self = shared_from_this()](const boost::system::error_code &error) { self->finish(error == asio::error::connection_refused); });
     }
 
     void finish(bool refused)
@@ -66,7 +107,11 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     endpoint_name m_endpoint;
+    asio::ip::tcp::endpoint m_address;
     std::function<void(endpoint_checked)> m_handler;
+    std::chrono::steady_clock::time_point m_endsAt;
+    std::chrono::milliseconds m_retryDelay = initialRetryDelay;
+    std::array<char, 1> m_byte{};
 };
 
 } // namespace
@@ -78,7 +123,7 @@
         asio::post(io, [name = command.endpoint, handler = std::move(handler)] { handler({name, false}); });
         return;
     }
-    std::make_shared<connection_attempt>(io, command.endpoint, std::move(handler))->start(*address);
+    std::make_shared<endpoint_watch>(io, command.endpoint, *address, std::move(handler))->start();
 }
 
 } // namespace plantainpoint
--- a/shell/endpoint_check.hpp
+++ b/shell/endpoint_check.hpp
@@ -10,8 +10,8 @@
 
 namespace plantainpoint {
 
-// Opens a connection a moment later, closes it and calls the handler once, never inside this function. A connection that is not refused within the time, or an
-// address that cannot be parsed, counts as not refused.
+// Connects a moment later, watches the connection for a second, and calls the handler once, never inside this function. When the connection ends, another
+// one is tried. Reports a refused connection at once, and otherwise that none was refused, also when the address cannot be parsed.
 void checkEndpoint(boost::asio::io_context &io, const check_endpoint &command, std::function<void(endpoint_checked)> handler);
 
 } // namespace plantainpoint
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -288,6 +288,8 @@
 {
     const auto now = m_components.clock.now();
     if (!m_components.quarantine.onChecked(checked, now)) {
+        m_components.logMessage(
+            severity::Info, log_component::Monitor, "endpoint=" + checked.endpoint.value + " refused no connection after it had broken off an answer");
         return;
     }
     ++m_components.metrics.endpointCrashes;
--- a/test/crashing_prompts.py
+++ b/test/crashing_prompts.py
@@ -51,10 +51,14 @@
 
 
 class Workers:
-    """Decode workers that are replaced, under another name and at another address, a while after they ended."""
+    """Decode workers that are replaced, under another name and at another address, a while after they ended.
 
-    def __init__(self, fleet, count, service="llm", stage="decode", handler=CrashingHandler):
+    The listener of a worker that ends is closed `listener_time` seconds after its connections.
+    """
+
+    def __init__(self, fleet, count, service="llm", stage="decode", handler=CrashingHandler, listener_time=0.0):
         self.fleet, self.lock, self.service, self.stage, self.handler = fleet, threading.Lock(), service, stage, handler
+        self.listener_time = listener_time
         self.started, self.crashes, self.crashing_requests, self.errors = 0, [], [], []
         for _ in range(count):
             self.start()
@@ -76,7 +80,8 @@
                 return
             server.ended = True
             self.crashes.append(time.monotonic())
-        server.socket.close()
+        if self.listener_time == 0:
+            server.socket.close()
         for connection in server.connections:
             try:
                 # The handler's files keep the socket object open, so its descriptor is closed here. It resets the connection.
@@ -84,9 +89,14 @@
                 os.close(connection.detach())
             except OSError:
                 pass
-        threading.Thread(target=server.shutdown, daemon=True).start()
+        threading.Thread(target=self.close_listener, args=(server,), daemon=True).start()
         threading.Timer(RESTART_TIME, self.replace, args=(server,)).start()
 
+    def close_listener(self, server):
+        server.shutdown()
+        time.sleep(self.listener_time)
+        server.socket.close()
+
     def replace(self, server):
         self.fleet.append_to_log("keyed.servers", server.name, b"")
         self.start()
@@ -171,14 +181,16 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", required=True)
-    fleet = RelayFleet(parser.parse_args().build)
+    parser.add_argument("--listener-time", type=float, default=0.0, help="seconds for which the listener of an ended worker outlives its connections")
+    arguments = parser.parse_args()
+    fleet = RelayFleet(arguments.build)
     try:
         wait_for("the store listens", lambda: socket.socket().connect_ex((HOST, fleet.store_port)) == 0, 5.0)
         configuration = make_configuration(7, ["k-1"])
         configuration["tenants"][0]["rate_per_s"] = 0
         configuration["services"][1]["engine"]["slots"] = 16
         fleet.append_to_log("keyed.op", "config", configuration)
-        workers = Workers(fleet, 4)
+        workers = Workers(fleet, 4, listener_time=arguments.listener_time)
         fleet.start_relay("vm-1")
         fleet.start_relay("vm-2")
         for name in ("vm-1", "vm-2"):
