Count endpoints that restart at once as crashed

Cause: a crash counted only if nothing listened at the address afterwards. An endpoint that listens again before it is checked hid every crash.

Change: lost answers are kept for 5 s after a check that was not refused. An announcement of a later run of the endpoint, or of another endpoint at its address, shows that the run had ended. An attempt remembers the run that it was sent to, so that a loss that is noticed after the announcement counts for the right run.

--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -73,7 +73,7 @@
         ++m_components.metrics.dispatches;
         entry.machine.apply(relay_event::sent{});
     }
-    entry.attempt = relay_attempt{number, endpoint.info.name, endpoint.announcements, kind, now, failoverTime(entry, kind, expected)};
+    entry.attempt = relay_attempt{number, endpoint.info.name, endpoint.announcements, endpoint.info.startedAt, kind, now, failoverTime(entry, kind, expected)};
     if (kind == dispatch_kind::Decode) {
         entry.attempt->source = std::exchange(entry.source, std::nullopt);
     }
@@ -267,8 +267,13 @@
     }
     const auto now = m_components.clock.now();
     const bool isSuspect = !attempt.firstEventAt || now - *attempt.firstEventAt < soundAnswerTime;
-    if (m_components.quarantine.onLost(endpoint->info, isSuspect ? traitsOf(entry) : request_traits{}, now)) {
-        m_components.commands.push_back(check_endpoint{endpoint->info.name, endpoint->info.address});
+    auto run = endpoint->info;
+    run.startedAt = attempt.endpointStartedAt;
+    const bool checks = m_components.quarantine.onLost(run, isSuspect ? traitsOf(entry) : request_traits{}, now);
+    if (endpoint->info.startedAt > run.startedAt) {
+        onAnnounced(endpoint->info); // The directory has shown the next run before the connection ended.
+    } else if (checks) {
+        m_components.commands.push_back(check_endpoint{run.name, run.address});
     }
 }
 
@@ -292,13 +297,25 @@
             severity::Info, log_component::Monitor, "endpoint=" + checked.endpoint.value + " refused no connection after it had broken off an answer");
         return;
     }
-    ++m_components.metrics.endpointCrashes;
-    m_components.logMessage(severity::Warning, log_component::Monitor, "endpoint=" + checked.endpoint.value + " has ended while it was answering");
+    recordCrash(checked.endpoint);
     if (auto *const endpoint = m_components.endpoints.find(checked.endpoint)) {
         endpoint->onUnreachable(now);
     }
 }
 
+void relay_requests::onAnnounced(const relay_endpoint &endpoint)
+{
+    for (const auto &ended : m_components.quarantine.onAnnounced(endpoint, m_components.clock.now())) {
+        recordCrash(ended);
+    }
+}
+
+void relay_requests::recordCrash(const endpoint_name &endpoint)
+{
+    ++m_components.metrics.endpointCrashes;
+    m_components.logMessage(severity::Warning, log_component::Monitor, "endpoint=" + endpoint.value + " has ended while it was answering");
+}
+
 bool relay_requests::spendRetry(const relay_entry &entry)
 {
     if (!budgetOf(entry.service).spend()) {
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -126,6 +126,9 @@
             continue;
         }
         const bool withdrawn = entry->withdrawnAt.has_value();
+        if (!withdrawn) {
+            requests.onAnnounced(entry->info);
+        }
         components.logMessage(severity::Info,
                               log_component::Monitor,
                               "endpoint=" + name.value + " service=" + entry->info.service.value + " address=" + entry->info.address + " state="
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -56,6 +56,7 @@
     attempt_number number = 0;
     endpoint_name endpoint;
     std::uint64_t announcements = 0; // Of the endpoint, at the dispatch.
+    std::int64_t endpointStartedAt = 0; // Start of the endpoint's run, at the dispatch.
     dispatch_kind kind = dispatch_kind::Plain;
     time_point sentAt{};
     // Time at which the request fails over to another endpoint, if one has room.
@@ -140,6 +141,8 @@
     void on(const placement_ask &ask);
     void on(const placement_grant &grant);
     void on(const endpoint_checked &checked);
+    // Looks for lost answers that an announcement of an endpoint explains.
+    void onAnnounced(const relay_endpoint &endpoint);
 
     // Ends the requests that are quarantined and that no endpoint has begun to answer.
     void refuseQuarantined();
@@ -210,6 +213,7 @@
     void recordAttemptOutcome(const relay_entry &entry, bool succeeded);
     static request_traits traitsOf(const relay_entry &entry);
     void recordLostAnswer(const relay_entry &entry, const relay_attempt &attempt, reply_outcome replyOutcome);
+    void recordCrash(const endpoint_name &endpoint);
     void recordAnswer(const relay_entry &entry);
     bool isSuspicious(const relay_entry &entry) const;
     retry_budget &budgetOf(const service_name &service);
--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -15,6 +15,8 @@
 constexpr duration probationTime = std::chrono::hours{1};
 constexpr duration releaseMemoryTime = std::chrono::minutes{1}; // VMs that were cut off may tell of a released request for this time.
 constexpr duration checkTimeout = milliseconds{2000}; // A check without a result by then tells nothing.
+// An endpoint that restarts at once announces itself within this time. A loss before it says nothing of the run that has ended.
+constexpr duration restartTime = milliseconds{5000};
 constexpr duration storeRetryTime = milliseconds{1000};
 constexpr duration reportDelay = milliseconds{50}; // Differences in the age of the same change that two VMs tell.
 constexpr std::size_t maxEntries = 256;
@@ -29,10 +31,10 @@
         m_changed = true;
         return false;
     }
-    auto &lost = m_unchecked[endpoint.name];
-    const bool isOpen = lost.startedAt == endpoint.startedAt && now - lost.at < checkTimeout && lost.at != time_point{};
+    auto &lost = m_lost[endpoint.name];
+    const bool isOpen = lost.startedAt == endpoint.startedAt && !lost.checked && now - lost.at < checkTimeout && lost.at != time_point{};
     if (!isOpen) {
-        lost = {.startedAt = endpoint.startedAt, .at = now};
+        lost = {.startedAt = endpoint.startedAt, .address = endpoint.address, .at = now};
     }
     lost.requests.push_back(request);
     return !isOpen;
@@ -40,20 +42,37 @@
 
 bool request_quarantine::onChecked(const endpoint_checked &checked, time_point now)
 {
-    const auto it = m_unchecked.find(checked.endpoint);
-    if (it == m_unchecked.end()) {
+    const auto it = m_lost.find(checked.endpoint);
+    if (it == m_lost.end()) {
         return false;
     }
-    const auto lost = std::move(it->second);
-    m_unchecked.erase(it);
+    auto &lost = it->second;
     if (!checked.refused || now - lost.at >= checkTimeout) {
+        lost.checked = true;
         return false;
     }
     m_evidence.onCrash(checked.endpoint, lost.startedAt, lost.requests, lost.at, now);
+    m_lost.erase(it);
     m_changed = true;
     return true;
 }
 
+std::vector<endpoint_name> request_quarantine::onAnnounced(const relay_endpoint &endpoint, time_point now)
+{
+    std::vector<endpoint_name> ended;
+    for (const auto &[name, lost] : m_lost) {
+        if (endpoint.startedAt > lost.startedAt && (name == endpoint.name || lost.address == endpoint.address)) {
+            m_evidence.onCrash(name, lost.startedAt, lost.requests, lost.at, now);
+            ended.push_back(name);
+        }
+    }
+    for (const auto &name : ended) {
+        m_lost.erase(name);
+        m_changed = true;
+    }
+    return ended;
+}
+
 void request_quarantine::onEvidence(const crash_report &evidence, time_point now)
 {
     for (const auto &crash : evidence.crashes) {
@@ -251,7 +270,7 @@
         const auto forgottenAt = (item.released ? item.changedAt + releaseMemoryTime : item.until + probationTime) + (item.stored ? probationTime : duration{});
         return now >= forgottenAt;
     });
-    std::erase_if(m_unchecked, [&](const auto &each) { return now - each.second.at >= checkTimeout; });
+    std::erase_if(m_lost, [&](const auto &each) { return now - each.second.at >= restartTime; });
 }
 
 } // namespace plantainpoint
--- a/src/request_quarantine.hpp
+++ b/src/request_quarantine.hpp
@@ -20,6 +20,9 @@
     bool onLost(const relay_endpoint &endpoint, const request_traits &request, time_point now);
     // Returns whether the endpoint has ended while it was answering.
     bool onChecked(const endpoint_checked &checked, time_point now);
+    // Takes over an announcement of an endpoint. A later run of an endpoint, or another endpoint at its address, shows that the run before has ended.
+    // Returns the endpoints that have ended while they were answering.
+    std::vector<endpoint_name> onAnnounced(const relay_endpoint &endpoint, time_point now);
     void onAnswered(const request_traits &traits, time_point now) { m_changed = m_evidence.onAnswered(traits, now, now) || m_changed; }
     // Takes over what another VM tells.
     void onEvidence(const crash_report &evidence, time_point now);
@@ -62,7 +65,9 @@
     };
     struct lost_answers {
         std::int64_t startedAt = 0;
+        std::string address;
         time_point at{};
+        bool checked = false; // Something listens at the address.
         std::vector<request_traits> requests;
     };
 
@@ -72,7 +77,7 @@
 
     crash_evidence m_evidence;
     std::map<request_traits, entry> m_entries;
-    std::map<endpoint_name, lost_answers> m_unchecked;
+    std::map<endpoint_name, lost_answers> m_lost; // Answers that broke off for a reason that is not known yet.
     std::vector<quarantined_requests> m_adopted; // Changes that others have told of.
     bool m_changed = false;
 };
--- a/test/crashing_prompts_test.cpp
+++ b/test/crashing_prompts_test.cpp
@@ -21,13 +21,21 @@
 
 const std::string poison = "bad0bad0";
 
+// What comes after the end of an engine.
+enum class engine_end : std::uint8_t {
+    Replaced, // Nothing listens, and another engine starts at another address some seconds later.
+    Restarted, // The engine listens again at once and announces a new run.
+    Renamed, // The same under another name at the same address.
+};
+
 // Engines of a model service. An engine that begins to write on the crashing part ends with everything that it runs, and another one starts at
 // another address some seconds later.
 class crash_replay
 {
 public:
-    explicit crash_replay(unsigned seed, int vmsPerDataCentre = 2, int dataCentres = 3)
+    explicit crash_replay(unsigned seed, int vmsPerDataCentre = 2, int dataCentres = 3, engine_end end = engine_end::Replaced)
         : fleet({.vmsPerDataCentre = vmsPerDataCentre, .dataCentres = dataCentres, .largePerDataCentre = 2, .loss = 0.005, .seed = seed})
+        , m_end(end)
     {
         auto config = sampleRelayConfig(1);
         config.accounts[0].rate = 0;
@@ -49,7 +57,7 @@
             onSent(dispatch);
             fleet.schedule(time, [this, vm, dispatch] { onArrival(vm, dispatch); });
         };
-        fleet.listens = [this](const endpoint_name &name) { return m_engines.at(name).running; };
+        fleet.listens = [this](const endpoint_name &name) { return m_end != engine_end::Replaced || m_engines.at(name).running; };
         fleet.startAll();
         fleet.runFor(seconds{4});
     }
@@ -92,16 +100,37 @@
         for (const auto &[vm, attempt] : std::exchange(engine.open, {})) {
             fleet.deliver(vm, relay_attempt_ended{attempt, reply_outcome::Broken});
         }
-        fleet.schedule(milliseconds{2600}, [this, name, role = engine.role, place = engine.dataCentre] {
+        replace(name);
+    }
+    void replace(const endpoint_name &name)
+    {
+        auto &engine = m_engines.at(name);
+        constexpr milliseconds announceTime{300};
+        constexpr milliseconds withdrawTime{2600};
+        if (m_end == engine_end::Restarted) {
+            engine.running = true;
+            ++engine.info.startedAt;
+            fleet.schedule(announceTime, [this, info = engine.info] { fleet.announce(info); });
+            return;
+        }
+        if (m_end == engine_end::Renamed) {
+            auto info = engine.info;
+            info.name.value += '+';
+            ++info.startedAt;
+            fleet.schedule(announceTime, [this, info] { addEngine(info); });
+        }
+        fleet.schedule(withdrawTime, [this, name] {
             fleet.withdraw(name.value);
-            addEngine(role, place);
+            if (m_end == engine_end::Replaced) {
+                addEngine(m_engines.at(name).info.role, m_engines.at(name).dataCentre);
+            }
         });
     }
     std::vector<endpoint_name> runningDecodes() const
     {
         std::vector<endpoint_name> names;
         for (const auto &[name, engine] : m_engines) {
-            if (engine.running && engine.role == endpoint_role::Decode) {
+            if (engine.running && engine.info.role == endpoint_role::Decode) {
                 names.push_back(name);
             }
         }
@@ -154,7 +183,7 @@
 
 private:
     struct engine {
-        endpoint_role role = endpoint_role::Decode;
+        relay_endpoint info;
         int dataCentre = 0;
         bool running = true;
         std::set<std::pair<std::size_t, attempt_number>> open;
@@ -167,7 +196,12 @@
         endpoint.address = "10.9.0." + number + ":8000";
         endpoint.dataCentre.value = "dc-" + std::to_string(dataCentre);
         endpoint.slots = 12;
-        m_engines[endpoint.name] = {role, dataCentre};
+        m_engines[endpoint.name].dataCentre = dataCentre;
+        addEngine(endpoint);
+    }
+    void addEngine(const relay_endpoint &endpoint)
+    {
+        m_engines[endpoint.name].info = endpoint;
         fleet.announce(endpoint);
     }
 
@@ -231,6 +265,7 @@
         fleet.schedule(milliseconds{50}, [this, vm, dispatch, number] { sendEvent(vm, dispatch, number + 1); });
     }
 
+    engine_end m_end;
     std::map<endpoint_name, engine> m_engines;
     int m_lastEngine = 0;
     std::vector<time_point> m_crashingSent;
@@ -302,6 +337,21 @@
     });
 }
 
+// Guards against crashes that are overlooked because the endpoint listens again before it is checked.
+BOOST_AUTO_TEST_CASE(endpointsThatRestartAtOnceCountAsCrashed)
+{
+    for (const auto end : {engine_end::Restarted, engine_end::Renamed}) {
+        forSeeds([end](unsigned seed) {
+            crash_replay replay(seed, 2, 3, end);
+            replay.run(seconds{3}, 8, [&] { return std::vector{anyOf(replay, "first", 3)}; });
+            replay.run(seconds{20}, 14, [&] {
+                return replay.fleet.randomBelow(14) < 3 ? std::vector{anyOf(replay, "first", 3), poison} : std::vector{anyOf(replay, "first", 3)};
+            });
+            replay.check("seed " + std::to_string(seed));
+        });
+    }
+}
+
 // Guards against a crashing part that each VM has to find out by itself in a large fleet.
 BOOST_AUTO_TEST_CASE(aLargeFleetActsTogether)
 {
--- a/test/request_quarantine_test.cpp
+++ b/test/request_quarantine_test.cpp
@@ -97,6 +97,43 @@
     BOOST_TEST(!isRefused({"a"}));
 }
 
+// Guards against a crash that is overlooked because the endpoint listens again at once, and against a quarantine by restarts that come later.
+BOOST_AUTO_TEST_CASE(aNewRunAtTheAddressShowsThatTheEndpointHasEnded)
+{
+    const auto lose = [&](const std::string &name) {
+        now += seconds{1};
+        const relay_endpoint endpoint{.name = {name}, .address = name + ":1", .startedAt = 5};
+        quarantine.onLost(endpoint, traitsOf({"bad"}), now);
+        return endpoint;
+    };
+    // An announcement may come before the result of the check and after it.
+    auto restarted = lose("dec-1");
+    BOOST_TEST(quarantine.onAnnounced(restarted, now).empty());
+    restarted.startedAt = 6;
+    BOOST_TEST(quarantine.onAnnounced(restarted, now).size() == 1U);
+    BOOST_TEST(!quarantine.onChecked({restarted.name, false}, now));
+    auto renamed = lose("dec-2");
+    BOOST_TEST(!quarantine.onChecked({renamed.name, false}, now));
+    renamed.name = {"other"};
+    renamed.startedAt = 6;
+    BOOST_TEST(quarantine.onAnnounced(renamed, now).size() == 1U);
+    BOOST_TEST(quarantine.onAnnounced(renamed, now).empty());
+    quarantine.update(now);
+    BOOST_TEST(!isRefused({"bad"}));
+    auto late = lose("dec-3");
+    now += seconds{6};
+    quarantine.tick(now);
+    late.startedAt = 6;
+    BOOST_TEST(quarantine.onAnnounced(late, now).empty());
+    quarantine.update(now);
+    BOOST_TEST(!isRefused({"bad"}));
+    auto last = lose("dec-4");
+    last.startedAt = 6;
+    quarantine.onAnnounced(last, now);
+    quarantine.update(now);
+    BOOST_TEST(isRefused({"bad"}));
+}
+
 // Guards against endpoints that end together, as their machine or the network fails, and count as many crashes.
 BOOST_AUTO_TEST_CASE(endpointsThatEndTogetherCountOnce)
 {
