Tell evidence of crashes again to VMs that were cut off

After a partition the crashing request goes on ending endpoints that the fleet together has evidence enough to spare.

Cause: a VM told a crash, or an answer that contradicts one, for 0.7 s after it had learnt of it. VMs that were cut off at that time never heard of it.

Change: what a VM has learnt of crashes is told again for 0.7 s every 5 s, in messages of the same bounds, as long as it is remembered.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto memoryTime = std::chrono::minutes{10}; // Crashes and answers are forgotten after this time.
 constexpr auto tellingTime = milliseconds{700}; // News is repeated for this time, so that a lost message only delays it.
+constexpr auto retellInterval = std::chrono::seconds{5}; // It is told again, so that VMs that were cut off learn of it.
 // Endpoints that end within this time count as one crash, as a failure of their machine or network ends several at once.
 constexpr auto sameCrashTime = milliseconds{20};
 constexpr std::int32_t neededForNewTraits = 3;
@@ -22,6 +23,12 @@
 constexpr std::size_t maxTold = 16; // Crashes, or answered traits, in one message.
 constexpr std::size_t maxToldRequests = 256; // Lost requests in one message, so that it fits into a datagram.
 
+// Returns whether messages carry what became known at a time.
+bool isTold(time_point knownAt, time_point now)
+{
+    return (now - knownAt) % retellInterval < tellingTime;
+}
+
 } // namespace
 
 void crash_evidence::onCrash(const endpoint_name &endpoint, std::int64_t startedAt, const std::vector<request_traits> &requests, time_point at, time_point now)
@@ -266,14 +273,15 @@
     std::size_t requests = 0;
     for (const auto &[key, entry] : m_crashes) {
         const bool fits = evidence.crashes.size() < maxTold && requests + entry.requests.size() <= maxToldRequests;
-        if (now - entry.learntAt < tellingTime && fits) {
+        if (isTold(entry.learntAt, now) && fits) {
             requests += entry.requests.size();
             evidence.crashes.push_back({key.first, key.second, now - entry.at, entry.requests});
         }
     }
     for (const auto &[trait, lostAt] : m_lostTraits) {
         const auto it = m_answers.find(trait);
-        if (it != m_answers.end() && now - it->second.toldAt < tellingTime && evidence.answered.size() < maxTold) {
+        const bool isNews = it != m_answers.end() && it->second.toldAt != time_point{};
+        if (isNews && isTold(it->second.toldAt, now) && evidence.answered.size() < maxTold) {
             evidence.answered.push_back({trait, now - it->second.at});
         }
     }
--- a/src/crash_evidence.hpp
+++ b/src/crash_evidence.hpp
@@ -35,7 +35,7 @@
     // Returns whether answers on all of the traits contradict that they were quarantined at the time.
     bool isRefuted(const request_traits &traits, time_point quarantinedAt) const;
 
-    // Adds what this VM has learnt lately.
+    // Adds what this VM has learnt lately, and every few seconds what it has learnt before.
     void addRecent(crash_report &evidence, time_point now) const;
     void tick(time_point now);
 
--- a/test/crashing_requests_test.cpp
+++ b/test/crashing_requests_test.cpp
@@ -79,7 +79,10 @@
     // Sends a request to any VM and returns its caller, or nothing if that VM does not run.
     std::optional<caller_id> send(const content &request, bool again)
     {
-        const auto vm = static_cast<std::size_t>(fleet.randomBelow(static_cast<int>(fleet.vms.size())));
+        return sendTo(static_cast<std::size_t>(fleet.randomBelow(static_cast<int>(fleet.vms.size()))), request, again);
+    }
+    std::optional<caller_id> sendTo(std::size_t vm, const content &request, bool again)
+    {
         if (!fleet.vms[vm].core || !fleet.vms[vm].core->ready()) {
             return std::nullopt;
         }
@@ -311,6 +314,36 @@
     });
 }
 
+// Guards against crashes that each part of a partition has seen and that are never linked after it. The store answers nobody meanwhile.
+BOOST_AUTO_TEST_CASE(crashesSeenInPartsOfAPartitionAreLinkedAfterIt)
+{
+    forSeeds([](unsigned seed) {
+        crash_replay replay(seed, crashingLookup);
+        const auto partOf = [](std::size_t vm) { return vm % 3; };
+        replay.fleet.directoryDown = true;
+        for (std::size_t from = 0; from < replay.fleet.vms.size(); ++from) {
+            for (std::size_t to = 0; to < replay.fleet.vms.size(); ++to) {
+                if (partOf(from) != partOf(to)) {
+                    replay.fleet.cutLinks.insert({from, to});
+                }
+            }
+        }
+        replay.run(seconds{3}, 0);
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            replay.sendTo(vm, crashingLookup, false);
+            replay.run(seconds{2}, 0);
+        }
+        const auto crashesBefore = replay.crashes.size();
+        BOOST_TEST_REQUIRE(crashesBefore >= 3U);
+        replay.fleet.cutLinks.clear();
+        replay.fleet.directoryDown = false;
+        replay.run(seconds{8}, 0);
+        replay.run(seconds{10}, 3);
+        BOOST_TEST(replay.crashes.size() == crashesBefore,
+                   "seed " << seed << ": " << replay.crashes.size() - crashesBefore << " endpoints ended after the partition");
+    });
+}
+
 // Guards against a fleet that forgets a crashing request when all of its VMs are killed.
 BOOST_AUTO_TEST_CASE(aCrashingRequestIsRememberedWhenAllVmsAreKilled)
 {
