Let no request begin later than 3 s after the signal to stop

Here streams sent 3.13 to 3.78 s after SIGTERM were aborted, if the drain time was set to more than 3 s. With the default of 2.5 s none was.

Cause: the drain time was limited to half of the grace period only, 4 s of 8.

Change: the reception ends 2.75 s after the signal at the latest.

--- a/src/stop_sequence.hpp
+++ b/src/stop_sequence.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <optional>
 
@@ -11,12 +12,16 @@
 namespace plantainpoint {
 
 struct stop_plan {
+    // No request begins to arrive later than this. One that its caller sends within 3 s after the signal may be broken off at the end of the grace period,
+    // a later one may not. The difference is for the time that the signal takes to reach the process.
+    static constexpr duration lastBeginTime = std::chrono::milliseconds{2750};
+
     duration drainTime{}; // New connections are taken for this time.
     duration grace{}; // The process is killed after this time.
 
     // Requests may arrive for this time. The other half of the grace period is left for their answers.
     duration receiveTime() const { return grace / 2; }
-    duration connectTime() const { return std::min(drainTime, receiveTime()); }
+    duration connectTime() const { return std::min({drainTime, receiveTime(), lastBeginTime}); }
     // A request that an endpoint works on may be broken off in the last sixth of the grace period only.
     duration uncutTime() const { return grace - grace / 6; }
     // Open requests are answered after this time. A sixteenth of the grace period is left to write the answers.
--- a/test/planned_stop.py
+++ b/test/planned_stop.py
@@ -59,8 +59,8 @@
         super().send_answer(status, body, headers)
 
 
-def start_worker(name, stage=None):
-    server = WorkerServer((HOST, 0), Handler)
+def start_worker(name, stage=None, handler=Handler):
+    server = WorkerServer((HOST, 0), handler)
     server.name, server.stage, server.received, server.begun = name, stage, [], {}
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -154,13 +154,13 @@
         self.processes.append(process)
         return process
 
-    def start_relay(self, name, ports=None, output=None):
+    def start_relay(self, name, ports=None, output=None, settings=""):
         ports = ports or [free_port() for _ in range(3)]
         path = os.path.join(self.folder, f"{name}.yaml")
         with open(path, "w") as settings_file:
             settings_file.write(
                 f"vm: {name}\ndata_centre: dc-a\nlisten: {HOST}:{ports[0]}\nready: {HOST}:{ports[1]}\npeer: {HOST}:{ports[2]}\n"
-                f"directory: {HOST}:{self.store_port}\nreading:\n  interval: {self.reading_interval}\nengines:\n  direct_limit: 0ms\n"
+                f"directory: {HOST}:{self.store_port}\nreading:\n  interval: {self.reading_interval}\nengines:\n  direct_limit: 0ms\n{settings}"
             )
         self.relays[name] = (self.spawn("plantainpoint-relay", ["--settings", path], output), ports)
 
--- a/test/stop_sequence_test.cpp
+++ b/test/stop_sequence_test.cpp
@@ -115,6 +115,22 @@
     BOOST_TEST((stageAfter(milliseconds{7500}, 1) == stop_stage::Ending));
 }
 
+// Guards against connections that are taken so late that their long requests are broken off at the end of the grace period although they may not be.
+BOOST_AUTO_TEST_CASE(longDrainTimesEndBeforeRequestsMayNoLongerBeCut)
+{
+    constexpr milliseconds mayBeCutTime{3000};
+    for (const auto &[drainTime, grace] : {std::pair{milliseconds{4000}, milliseconds{8000}},
+                                           {milliseconds{60'000}, milliseconds{8000}},
+                                           {milliseconds{10'000}, milliseconds{20'000}},
+                                           {milliseconds{3000}, milliseconds{30'000}}}) {
+        stop_sequence late({.drainTime = drainTime, .grace = grace});
+        late.begin(begunAt);
+        BOOST_TEST(late.advance(begunAt + mayBeCutTime - milliseconds{1}, 1), drainTime.count() << " ms of " << grace.count());
+        BOOST_TEST((late.stage() == stop_stage::Receiving));
+        BOOST_TEST((late.nextChange() == begunAt + grace / 2));
+    }
+}
+
 // Guards against stages that a VM skips when it was suspended meanwhile: each has an action.
 BOOST_AUTO_TEST_CASE(suspendedVmEntersEveryStage)
 {
