Count and log why connections of callers end

The VM had no line and no counter for it: a connection that was closed for its idle time, or for output that was not read, left no trace, and caller_gone did not tell a caller that left from one that was cut.

Every close now has a reason (http_connections_closed_total). A close by the VM itself with an open request, unread input or unwritten output is counted (http_connections_cut_total) and logged with these three figures, so that the hypotheses of the incident can be told apart: idle time, slow reader, a broken answer, and the stop of the VM.

--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -198,7 +198,7 @@
         return;
     }
     if (error) {
-        close();
+        close(close_reason::CallerClosed);
         return;
     }
     m_writtenSize += size;
@@ -231,18 +231,18 @@
     const auto idle = m_host.limits().idleTime;
     if (m_writing && now - m_writeStart > idle) {
         m_host.countSlowCaller();
-        close();
+        close(close_reason::SlowReader);
         return;
     }
     if (m_outputEnded && now - m_phaseStart > drainTime) {
-        close();
+        close(close_reason::LastAnswer);
         return;
     }
     if (m_caller != 0 || m_writing || m_outputEnded || now - m_phaseStart <= idle) {
         return;
     }
     if (!m_arriving) {
-        close();
+        close(close_reason::Idle);
         return;
     }
     refuseRest(failure::MalformedRequest, "the request did not arrive within " + std::to_string(idle.count()) + " ms");
@@ -266,22 +266,27 @@
     }
 }
 
-void caller_session::closeUnlessRead()
+void caller_session::closeUnlessRead(close_reason reason)
 {
+    m_cancelReason = reason;
     if (m_reading) {
         cancelRead();
     } else {
-        close();
+        close(reason);
     }
 }
 
-void caller_session::close()
+void caller_session::close(close_reason reason)
 {
     if (m_closed) {
         return;
     }
     m_closed = true;
     const auto self = shared_from_this();
+    const bool takesRequests = m_keepAlive && !m_outputEnded;
+    const unfinished_work work{.requestOpen = m_caller != 0,
+                               .unreadInput = takesRequests ? m_input.size() + pendingInput() : 0,
+                               .unwrittenOutput = m_pendingOutput.size() + m_writeBuffer.size() - (m_writing ? m_writtenSize : 0)};
     closeSocket();
     if (m_countedKey) {
         m_host.uncountConnection(*m_countedKey);
@@ -290,7 +295,7 @@
     if (m_caller != 0) {
         m_host.onCallerDisconnected(std::exchange(m_caller, 0));
     }
-    m_host.onClosed(*this);
+    m_host.onClosed(*this, reason, work);
 }
 
 } // namespace plantainpoint
--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -91,13 +91,13 @@
         return;
     }
     if (error) {
-        close();
+        close(error == asio::error::operation_aborted ? m_cancelReason : close_reason::CallerClosed);
         return;
     }
     if (m_outputEnded || !m_keepAlive) {
         m_discardedBytes += size;
         if (m_discardedBytes > maxDiscardedInput) {
-            close();
+            close(close_reason::InputDiscarded);
             return;
         }
     } else {
@@ -314,7 +314,7 @@
     m_request->eventWriter->appendToken(m_pendingOutput, text);
     if (m_pendingOutput.size() > m_host.limits().outputBuffer) {
         m_host.countSlowCaller();
-        close();
+        close(close_reason::SlowReader);
         return;
     }
     flushLater();
@@ -401,7 +401,7 @@
     m_pendingOutput += bytes;
     if (m_pendingOutput.size() > m_host.limits().outputBuffer) {
         m_host.countSlowCaller();
-        close();
+        close(close_reason::SlowReader);
         return;
     }
     flushLater();
@@ -420,7 +420,7 @@
     m_keepAlive = false;
     closeChunk();
     if (!m_chunked || !m_request->opaqueStream) {
-        close();
+        close(close_reason::AnswerBroken);
         return;
     }
     m_request->opaqueStream = false;
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "close_reason.hpp"
 #include "completion_api.hpp"
 #include "plantainpoint/relay.hpp"
 #include "settings.hpp"
@@ -22,6 +23,13 @@
 
 class caller_session;
 
+// What a connection held when it was closed.
+struct unfinished_work {
+    bool requestOpen = false; // A request without a terminal answer.
+    std::size_t unreadInput = 0; // Bytes from the caller that were not taken for a request.
+    std::size_t unwrittenOutput = 0; // Bytes for the caller.
+};
+
 enum class request_handling : std::uint8_t {
     Completion, // Completion requests are parsed. Other requests go to plain services.
     Opaque, // Every request is forwarded without parsing its body.
@@ -49,7 +57,7 @@
     virtual void countToken() = 0;
     virtual void addFirstTokenTime(duration time) = 0;
     virtual void addPlainAnswerTime(duration time) = 0;
-    virtual void onClosed(caller_session &session) = 0;
+    virtual void onClosed(caller_session &session, close_reason reason, const unfinished_work &work) = 0;
     // Returns whether connections are closed after their current answer.
     virtual bool isClosing() const = 0;
 };
@@ -79,16 +87,17 @@
     // Refuses a request that is being received, as this VM is shutting down.
     void refuseArriving();
     // Closes a connection without a request, unless bytes of one have just been read.
-    void closeUnlessRead();
-    void close();
+    void closeUnlessRead(close_reason reason);
+    void close(close_reason reason);
     // Returns whether no request is open or partly received and no output is left.
     bool isIdle() const { return m_caller == 0 && !m_arriving && m_input.size() == 0 && !hasOutput(); }
     // Returns whether a request is being received, or bytes of one wait to be read.
     bool isReceiving() const { return m_caller == 0 && m_keepAlive && (m_arriving || m_input.size() > 0 || hasPendingInput()); }
     // Returns whether the rest of a request that was refused is read and discarded.
     bool isDiscarding() const { return m_inputRefused && !m_closed; }
-    // Returns whether the connection has bytes that have not been read.
-    virtual bool hasPendingInput() const = 0;
+    // Returns the number of bytes that have arrived and have not been read.
+    virtual std::size_t pendingInput() const = 0;
+    bool hasPendingInput() const { return pendingInput() > 0; }
     bool hasOutput() const { return m_writing || !m_pendingOutput.empty(); }
 
 protected:
@@ -163,6 +172,7 @@
     std::unique_ptr<open_request> m_request;
     std::string m_pendingOutput;
     std::string m_writeBuffer; // Bytes of the write in progress.
+    close_reason m_cancelReason = close_reason::CallerClosed; // Of a read that is cancelled to close the connection.
     std::optional<key_digest> m_countedKey; // The key that this connection is counted for.
     caller_id m_caller = 0; // 0 while no request is open.
     std::size_t m_chunkStart = 0; // Offset of the open chunk in m_pendingOutput.
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -21,10 +21,11 @@
 // Delay after a failed accept, such as one for want of file descriptors.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds{50};
 
-bool bytesPending(const tcp::socket &socket)
+std::size_t bytesPending(const tcp::socket &socket)
 {
     boost::system::error_code error;
-    return socket.available(error) > 0 && !error;
+    const auto size = socket.available(error);
+    return error ? 0 : size;
 }
 
 void setLinger(tcp::socket &socket, bool reset)
@@ -42,7 +43,7 @@
     {
     }
 
-    bool hasPendingInput() const override { return bytesPending(m_socket); }
+    std::size_t pendingInput() const override { return bytesPending(m_socket); }
 
 private:
     std::shared_ptr<plain_session> self() { return std::static_pointer_cast<plain_session>(shared_from_this()); }
@@ -86,7 +87,7 @@
     {
     }
 
-    bool hasPendingInput() const override { return bytesPending(m_stream.next_layer()); }
+    std::size_t pendingInput() const override { return bytesPending(m_stream.next_layer()); }
 
 private:
     std::shared_ptr<tls_session> self() { return std::static_pointer_cast<tls_session>(shared_from_this()); }
@@ -96,7 +97,7 @@
     {
         m_stream.async_handshake(asio::ssl::stream_base::server, [self = self()](const boost::system::error_code &error) {
             if (error) {
-                self->close();
+                self->close(close_reason::HandshakeFailed);
             } else {
                 self->ready();
             }
@@ -112,7 +113,7 @@
     }
     void endOutput() override
     {
-        m_stream.async_shutdown([self = self()](const boost::system::error_code &) { self->close(); });
+        m_stream.async_shutdown([self = self()](const boost::system::error_code &) { self->close(close_reason::LastAnswer); });
     }
     void cancelRead() override
     {
@@ -358,9 +359,18 @@
     m_sink(caller_disconnected{caller});
 }
 
-void http_server::onClosed(caller_session &session)
+void http_server::onClosed(caller_session &session, close_reason reason, const unfinished_work &work)
 {
     --m_metrics.connections;
+    ++m_metrics.closedConnections[static_cast<std::size_t>(reason)];
+    if (reason != close_reason::CallerClosed && (work.requestOpen || work.unreadInput > 0 || work.unwrittenOutput > 0)) {
+        ++m_metrics.connectionsCut;
+        m_logger.write(severity::Warning,
+                       log_component::Http,
+                       "A connection was closed with unfinished work: reason=" + std::string(nameOf(reason))
+                           + " request_open=" + (work.requestOpen ? "yes" : "no") + " unread_bytes=" + std::to_string(work.unreadInput)
+                           + " unwritten_bytes=" + std::to_string(work.unwrittenOutput) + '.');
+    }
     m_sessions.erase(&session);
 }
 
@@ -415,7 +425,7 @@
         }
     }
     for (const auto &session : idle) {
-        session->closeUnlessRead();
+        session->closeUnlessRead(close_reason::VmStopping);
     }
 }
 
@@ -425,7 +435,7 @@
     m_sweepTimer.cancel();
     while (!m_sessions.empty()) {
         const auto session = m_sessions.begin()->second;
-        session->close();
+        session->close(close_reason::VmStopping);
     }
 }
 
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -80,7 +80,7 @@
     void countToken() override { ++m_metrics.tokens; }
     void addFirstTokenTime(duration time) override { m_metrics.firstToken.add(time); }
     void addPlainAnswerTime(duration time) override { m_metrics.plainAnswer.add(time); }
-    void onClosed(caller_session &session) override;
+    void onClosed(caller_session &session, close_reason reason, const unfinished_work &work) override;
     bool isClosing() const override { return m_closing; }
 
     absl::Status loadTls();
--- a/shell/shell_metrics.cpp
+++ b/shell/shell_metrics.cpp
@@ -76,6 +76,12 @@
     appendMetric("http_callers_gone_total", metrics.callersDisconnected, "counter");
     appendMetric("http_slow_callers_total", metrics.slowCallers, "counter");
     appendMetric("http_connections", metrics.connections, "gauge");
+    appendMetric("http_connections_cut_total", metrics.connectionsCut, "counter");
+    out += "# TYPE plantainpoint_http_connections_closed_total counter\n";
+    for (std::size_t i = 0; i < closeReasonNames.size(); ++i) {
+        appendSample(
+            out, "http_connections_closed_total", "reason=\"" + std::string(closeReasonNames[i]) + '"', static_cast<double>(metrics.closedConnections[i]));
+    }
     appendMetric("peer_messages_dropped_total", metrics.peerMessagesDropped, "counter");
     appendMetric("peer_connections_refused_total", metrics.peerConnectionsRefused, "counter");
     appendDistribution(out, "http_first_token_seconds", metrics.firstToken);
--- a/shell/shell_metrics.hpp
+++ b/shell/shell_metrics.hpp
@@ -13,6 +13,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include "close_reason.hpp"
 #include "plantainpoint/clock.hpp"
 
 namespace plantainpoint {
@@ -42,6 +43,8 @@
     std::uint64_t callersDisconnected = 0;
     std::uint64_t slowCallers = 0; // Closed because their output buffer was full or made no progress.
     std::uint64_t connections = 0; // Currently open.
+    std::array<std::uint64_t, closeReasonNames.size()> closedConnections{}; // By close_reason.
+    std::uint64_t connectionsCut = 0; // Closed by this VM with an open request, unread input or unwritten output.
     std::uint64_t peerMessagesDropped = 0; // Messages to peers that were dropped because their queue was full or outdated.
     std::uint64_t peerConnectionsRefused = 0; // Connections of peers that failed the handshake or sent a malformed frame.
     time_distribution firstToken; // Time from the complete request to the first token.
--- a/test/bytes/caller_targets.cpp
+++ b/test/bytes/caller_targets.cpp
@@ -27,7 +27,7 @@
     {
     }
 
-    bool hasPendingInput() const override { return false; }
+    std::size_t pendingInput() const override { return 0; }
     // Delivers the bytes while the session reads.
     void deliver(std::string_view bytes)
     {
@@ -128,7 +128,7 @@
     void countToken() override { }
     void addFirstTokenTime(duration /*time*/) override { }
     void addPlainAnswerTime(duration /*time*/) override { }
-    void onClosed(caller_session & /*session*/) override { }
+    void onClosed(caller_session & /*session*/, close_reason /*reason*/, const unfinished_work & /*work*/) override { }
     bool isClosing() const override { return false; }
 
     std::string requests;
