Read what has arrived before a connection is closed for its idle time

One pass of the reactor fetches 128 events. A configuration that lowers the idle time makes many connections due at once, so that a VM with a small share of a core gets there beside a change.

Change: a connection that is due is left alone while input waits, and a read that has completed is handled before the close. A write is given up only if the connection takes no bytes now.

--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -229,20 +229,21 @@
 void caller_session::sweep(steady::time_point now)
 {
     const auto idle = m_host.limits().idleTime;
-    if (m_writing && now - m_writeStart > idle) {
+    if (m_writing && now - m_writeStart > idle && !canWrite()) {
         m_host.countSlowCaller();
         close(close_reason::SlowReader);
         return;
     }
-    if (m_outputEnded && now - m_phaseStart > drainTime) {
-        close(close_reason::LastAnswer);
+    const bool isDue = m_outputEnded ? now - m_phaseStart > drainTime : m_caller == 0 && !m_writing && now - m_phaseStart > idle;
+    if (!isDue || m_parsePosted || hasPendingInput()) {
         return;
     }
-    if (m_caller != 0 || m_writing || m_outputEnded || now - m_phaseStart <= idle) {
+    if (m_outputEnded) {
+        close(close_reason::LastAnswer);
         return;
     }
     if (!m_arriving) {
-        close(close_reason::Idle);
+        closeUnlessRead(close_reason::Idle);
         return;
     }
     refuseRest(failure::MalformedRequest, "the request did not arrive within " + std::to_string(idle.count()) + " ms");
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -82,7 +82,8 @@
     void endStream();
     // Ends the connection without the end of the answer, so that the answer does not look complete.
     void abortAnswer();
-    // Closes or refuses the connection if its idle, write or drain time has expired.
+    // Closes or refuses the connection if its idle, write or drain time has expired. What has arrived or been taken meanwhile is handled first, as this
+    // process may have stood still.
     void sweep(std::chrono::steady_clock::time_point now);
     // Refuses a request that is being received, as this VM is shutting down.
     void refuseArriving();
@@ -98,6 +99,8 @@
     // Returns the number of bytes that have arrived and have not been read.
     virtual std::size_t pendingInput() const = 0;
     bool hasPendingInput() const { return pendingInput() > 0; }
+    // Returns whether the connection takes further bytes.
+    virtual bool canWrite() = 0;
     bool hasOutput() const { return m_writing || !m_pendingOutput.empty(); }
 
 protected:
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include <poll.h>
+
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/write.hpp>
 
@@ -28,6 +30,12 @@
     return error ? 0 : size;
 }
 
+bool isWritable(tcp::socket &socket)
+{
+    pollfd descriptor{.fd = socket.native_handle(), .events = POLLOUT, .revents = 0};
+    return ::poll(&descriptor, 1, 0) > 0;
+}
+
 void setLinger(tcp::socket &socket, bool reset)
 {
     boost::system::error_code ignored;
@@ -44,6 +52,7 @@
     }
 
     std::size_t pendingInput() const override { return bytesPending(m_socket); }
+    bool canWrite() override { return isWritable(m_socket); }
 
 private:
     std::shared_ptr<plain_session> self() { return std::static_pointer_cast<plain_session>(shared_from_this()); }
@@ -88,6 +97,7 @@
     }
 
     std::size_t pendingInput() const override { return bytesPending(m_stream.next_layer()); }
+    bool canWrite() override { return isWritable(m_stream.next_layer()); }
 
 private:
     std::shared_ptr<tls_session> self() { return std::static_pointer_cast<tls_session>(shared_from_this()); }
--- a/test/bytes/caller_targets.cpp
+++ b/test/bytes/caller_targets.cpp
@@ -28,6 +28,7 @@
     }
 
     std::size_t pendingInput() const override { return 0; }
+    bool canWrite() override { return false; }
     // Delivers the bytes while the session reads.
     void deliver(std::string_view bytes)
     {
