Leave resting connections the idle time that their callers count on

Callers reuse a connection that has rested for up to four fifths of the limit that they know.

Change: a time of rest or of arrival keeps the limit that was in force when it began, or gets the present one if that is longer. From the next rest on the lower limit holds.

Evidence: unit/stalled_vm/loweredIdleTimeLeavesRestingConnectionsTheirTime. Before: connections closed 280 ms into a rest that began under a limit of 400 ms. After: all 300 are answered, and closed in time later.

--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -145,7 +145,7 @@
         m_pendingOutput += "0\r\n\r\n";
     }
     m_request.reset();
-    m_phaseStart = steady::now();
+    beginPhase();
     const auto caller = std::exchange(m_caller, 0);
     if (m_host.isClosing()) {
         m_keepAlive = false;
@@ -228,7 +228,7 @@
 
 void caller_session::sweep(steady::time_point now)
 {
-    const auto idle = m_host.limits().idleTime;
+    const auto idle = std::max(m_idleTime, m_host.limits().idleTime);
     if (m_writing && now - m_writeStart > idle && !canWrite()) {
         m_host.countSlowCaller();
         close(close_reason::SlowReader);
--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -37,6 +37,7 @@
 caller_session::caller_session(session_host &host)
     : m_host(host)
     , m_phaseStart(steady::now())
+    , m_idleTime(host.limits().idleTime)
 {
 }
 
@@ -50,6 +51,13 @@
     readMore();
 }
 
+// Begins a time of rest or the arrival of a request.
+void caller_session::beginPhase()
+{
+    m_phaseStart = steady::now();
+    m_idleTime = m_host.limits().idleTime;
+}
+
 void caller_session::readMore()
 {
     if (m_reading || m_closed) {
@@ -120,7 +128,7 @@
     if (!m_arriving && m_input.size() > 0) {
         m_arriving = true;
         m_continueHandled = false;
-        m_phaseStart = steady::now();
+        beginPhase();
     }
     boost::beast::error_code error;
     while (m_input.size() > 0 && !m_parser->is_done()) {
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -141,6 +141,7 @@
         bool opaqueStream = false; // A stream of opaque bytes has begun.
     };
 
+    void beginPhase();
     void readMore();
     void takeReceived(std::size_t size);
     void parse();
@@ -183,6 +184,7 @@
     std::size_t m_writtenSize = 0; // Bytes of m_writeBuffer that the connection has taken.
     std::size_t m_discardedBytes = 0;
     steady::time_point m_phaseStart; // Start of the idle time, of the request's arrival or of the drain.
+    std::chrono::milliseconds m_idleTime; // Limit at m_phaseStart. Callers count on it until the phase ends, also if a configuration lowers it.
     steady::time_point m_writeStart;
     bool m_chunkOpen = false;
     bool m_chunked = false;
--- a/test/stalled_vm_test.cpp
+++ b/test/stalled_vm_test.cpp
@@ -127,6 +127,23 @@
     BOOST_TEST(metrics.slowCallers == 0U);
 }
 
+// Guards against connections that are closed sooner than their callers count on because a configuration lowers the idle time.
+BOOST_AUTO_TEST_CASE(loweredIdleTimeLeavesRestingConnectionsTheirTime)
+{
+    connect();
+    server->setBounds({.headerSize = 16384, .bodySize = 1 << 20, .idleTime = 100ms});
+    io.restart();
+    io.run_for(idleTime * 7 / 10);
+    for (auto &caller : callers) {
+        BOOST_TEST_REQUIRE(!caller->ended());
+        caller->send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    BOOST_TEST(runUntil(io, [&] { return requests == 2 * callerCount; }));
+    // From their next rest on, the lower idle time holds.
+    BOOST_TEST(runUntil(
+        io, [&] { return metrics.connections == 0U; }, idleTime * 3 / 4));
+}
+
 // Guards against connections that stay open although their callers have been silent for the idle time.
 BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAfterAStall)
 {
