Announce the close of a connection in the answers of a stopping VM

Callers saw: in a planned stop, a booking and a stream that were in flight at SIGTERM got whole answers without `Connection: close`, and the connection ended right behind them.

Cause: whether a connection is kept was decided when the request arrived. The end of the answer then closed it because the VM was stopping.

Change: the head of an answer decides. A stream whose head went out before the stop leaves its connection open; the next request on it is answered with the announcement, or it is closed with the idle connections. An entry VM closes its idle connections and refuses what is arriving in the same way.

Evidence: unit/http_server_limits, answersOfAStoppingServerAnnounceTheClose and streamsThatBeganBeforeAStopLeaveTheirConnectionOpen failed before.

--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -44,6 +44,7 @@
 
 void caller_session::writeStatus(int status)
 {
+    decideKeepAlive();
     m_pendingOutput += "HTTP/1.1 " + std::to_string(status) + ' ';
     m_pendingOutput += reasonOf(status);
     m_pendingOutput += "\r\n";
@@ -96,6 +97,7 @@
         return;
     }
     m_request->eventWriter.emplace(m_request->identity);
+    decideKeepAlive();
     m_pendingOutput += "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n";
     if (!m_request->label.empty()) {
         m_pendingOutput += "X-Request-Id: " + m_request->label + "\r\n";
@@ -147,7 +149,8 @@
     m_request.reset();
     beginPhase();
     const auto caller = std::exchange(m_caller, 0);
-    if (m_host.isClosing()) {
+    // A head that went out before the stop has not announced a close: the connection takes further requests until idle ones are closed.
+    if (m_host.closesAtRest()) {
         m_keepAlive = false;
     }
     flushLater();
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -58,8 +58,10 @@
     virtual void addFirstTokenTime(duration time) = 0;
     virtual void addPlainAnswerTime(duration time) = 0;
     virtual void onClosed(caller_session &session, close_reason reason, const unfinished_work &work) = 0;
-    // Returns whether connections are closed after their current answer.
+    // Returns whether answers announce that their connection is closed.
     virtual bool isClosing() const = 0;
+    // Returns whether a connection is closed instead of resting until its next request.
+    virtual bool closesAtRest() const = 0;
 };
 
 // HTTP protocol of a connection. Derived classes transfer the bytes.
@@ -158,6 +160,7 @@
 
     void beginStream();
     void writeStatus(int status);
+    void decideKeepAlive() { m_keepAlive = m_keepAlive && !m_host.isClosing(); }
     void writeHead(int status, std::string_view contentType, std::size_t length);
     void writeProblem(const answer_failure &answer);
     void finish(int status);
--- a/shell/entry_vm.cpp
+++ b/shell/entry_vm.cpp
@@ -138,7 +138,8 @@
     if (m_loop.isStopping()) {
         return;
     }
-    m_server.stopListening();
+    m_server.closeIdle();
+    m_server.refuseArriving();
     m_loop.stop([this] { return m_server.flushed(); }, flushTime, [this] { m_logger.write(severity::Info, log_component::Core, "Stopped."); });
 }
 
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -426,6 +426,7 @@
 
 void http_server::closeIdle()
 {
+    m_closesAtRest = true;
     acceptPending();
     stopListening();
     std::vector<std::shared_ptr<caller_session>> idle;
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -54,10 +54,10 @@
     // Applies the sizes and times of the configuration. The other limits stay unchanged.
     void setBounds(const caller_bounds &bounds);
 
-    // From now on every connection is closed after its current answer.
+    // From now on answers announce that their connection is closed.
     void beginClosing() { m_closing = true; }
     void stopListening();
-    // Stops listening and closes the connections that have no request. Connections that wait to be accepted are taken.
+    // Stops listening and closes the connections that have no request, now or after their current answer. Connections that wait to be accepted are taken.
     void closeIdle();
     // Refuses the requests that have been received in part or wait to be read.
     void refuseArriving();
@@ -82,6 +82,7 @@
     void addPlainAnswerTime(duration time) override { m_metrics.plainAnswer.add(time); }
     void onClosed(caller_session &session, close_reason reason, const unfinished_work &work) override;
     bool isClosing() const override { return m_closing; }
+    bool closesAtRest() const override { return m_closesAtRest; }
 
     absl::Status loadTls();
     void accept();
@@ -104,6 +105,7 @@
     std::map<key_digest, std::int32_t> m_connectionsOfKey;
     caller_id m_lastCaller = 0;
     bool m_closing = false;
+    bool m_closesAtRest = false;
 };
 
 } // namespace plantainpoint
--- a/test/bytes/caller_targets.cpp
+++ b/test/bytes/caller_targets.cpp
@@ -131,6 +131,7 @@
     void addPlainAnswerTime(duration /*time*/) override { }
     void onClosed(caller_session & /*session*/, close_reason /*reason*/, const unfinished_work & /*work*/) override { }
     bool isClosing() const override { return false; }
+    bool closesAtRest() const override { return false; }
 
     std::string requests;
     std::string answers;
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -248,6 +248,52 @@
     BOOST_TEST(runUntil(io, [&] { return open.has("whole"); }));
 }
 
+// Guards against a planned stop that closes a connection behind an answer that does not announce it, so that the next request is lost.
+BOOST_AUTO_TEST_CASE(answersOfAStoppingServerAnnounceTheClose)
+{
+    raw_connection plain(io, server->port());
+    plain.send("GET /a HTTP/1.1\r\n\r\n");
+    BOOST_REQUIRE(requestsArrive());
+    server->beginClosing();
+    server->run(answer_plain{.caller = requests[0].caller, .label = label(), .body = "whole"});
+    BOOST_TEST(runUntil(io, [&] { return plain.has("whole"); }));
+    BOOST_TEST(plain.has("Connection: close"));
+    BOOST_TEST(runUntil(io, [&] { return plain.ended(); }));
+}
+
+// Guards against the same for a stream whose head went out before the stop: its connection takes another request until idle connections are closed.
+BOOST_AUTO_TEST_CASE(streamsThatBeganBeforeAStopLeaveTheirConnectionOpen)
+{
+    raw_connection caller(io, server->port());
+    caller.send("GET /a HTTP/1.1\r\n\r\n");
+    BOOST_REQUIRE(requestsArrive());
+    server->run(answer_stream_head{requests[0].caller, 200, {}});
+    server->run(answer_stream_bytes{requests[0].caller, "data: 1\n\n"});
+    BOOST_REQUIRE(runUntil(io, [&] { return caller.has("data: 1"); }));
+    server->beginClosing();
+    server->run(answer_stream_end{requests[0].caller});
+    BOOST_REQUIRE(runUntil(io, [&] { return caller.has("0\r\n\r\n"); }));
+    caller.send("GET /b HTTP/1.1\r\n\r\n");
+    BOOST_REQUIRE(requestsArrive(2));
+    server->run(answer_plain{.caller = requests[1].caller, .label = label(), .body = "whole"});
+    BOOST_TEST(runUntil(io, [&] { return caller.has("whole"); }));
+    BOOST_TEST(caller.has("Connection: close"));
+    BOOST_TEST(runUntil(io, [&] { return caller.ended(); }));
+}
+
+// Guards against a connection that stays open after its stream has ended behind the time at which idle connections are closed.
+BOOST_AUTO_TEST_CASE(streamsThatEndLateInAStopCloseTheirConnection)
+{
+    raw_connection caller(io, server->port());
+    caller.send("GET /a HTTP/1.1\r\n\r\n");
+    BOOST_REQUIRE(requestsArrive());
+    server->run(answer_stream_head{requests[0].caller, 200, {}});
+    server->beginClosing();
+    server->closeIdle();
+    server->run(answer_stream_end{requests[0].caller});
+    BOOST_TEST(runUntil(io, [&] { return caller.has("0\r\n\r\n") && caller.ended(); }));
+}
+
 // Guards against a trailer field of 64 KB, for which the HTTP library throws an exception that ends the VM.
 BOOST_AUTO_TEST_CASE(largeTrailersAreRefused)
 {
