--- a/test/silent_planned_work.py
+++ b/test/silent_planned_work.py
@@ -3,12 +3,16 @@
 Planned work is: changes of the configuration, storms, SIGHUP, SIGTERM with a restart at the same ports, releases of workers, and a store that answers
 late. One VM at a time gets about a tenth of a core. Callers use kept connections and reuse them for up to four fifths of the idle limit.
 
+The case "idle" has two VMs, one of them slow, and large configurations that lower the idle limit while callers rest. The case "stop" sends the next
+request as soon as a stream has ended, to VMs that are slow while they stop. Both are started by hand.
+
 Each request has to get a whole answer, a refusal that is true, or a failure status. Its connection may end without a whole answer only at its deadline or
 its route's time limit, in the last sixth of the grace period, or when the request crossed the end of an idle connection and was not passed on. Callers
 that end their sending direction after the request are only counted.
 """
 import argparse
 import collections
+import dataclasses
 import random
 import select
 import signal
@@ -19,9 +23,6 @@
 
 from platform_path import HOST, REPLY_STAMP, RelayFleet, WorkerHandler, WorkerServer, make_configuration, send_request, wait_for, worker_entry
 
-VMS = ("vm-1", "vm-2", "vm-3")
-CALLERS = 30
-HALF_CLOSING_CALLERS = 2
 SEED = 42
 SECONDS = 30.0
 GRACE_S = 8.0
@@ -34,8 +35,8 @@
 EVENTS, EVENT_PAUSE_S = 16, 0.03
 BODY_SIZE = 20_000  # Bytes of a plain answer.
 REUSE_FRACTION = 0.8  # Of the idle limit.
+LONGEST_IDLE_MS = 4000
 ANSWER_TIMEOUT_S = 12.0
-SLOW_RUN_S, SLOW_STOP_S = 0.02, 0.13
 FINDING_WINDOW_S = 2.5  # Planned work that is printed with a finding.
 
 STREAM_SILENCES = ("head", "first event", "between events", "inside event", "last chunk", "prefill", "decode")
@@ -45,6 +46,70 @@
 FAILURE_STATUSES = (500, 502, 504)
 
 
+def mixed_rest(choices, idle_s):
+    return choices.choice((0.0, choices.uniform(0.0, 0.2), choices.uniform(0.5, REUSE_FRACTION) * idle_s))
+
+
+def long_rest(choices, _):
+    """Callers know the longest limit only: that of most configurations."""
+    return choices.choice((choices.uniform(0.0, 0.2), *(choices.uniform(0.2, REUSE_FRACTION) * LONGEST_IDLE_MS / 1000 for _ in range(2))))
+
+
+def no_rest(_, __):
+    return 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    vms: tuple = ("vm-1", "vm-2", "vm-3")
+    callers: int = 30
+    half_closing_callers: int = 2
+    keys: int = 1  # Of another account, in each configuration.
+    slots: int = 8  # Of prefill and decode workers.
+    kinds: tuple = ("book", "look", "draft", "resume", "draft")
+    silent_share: float = 0.5
+    rest: object = mixed_rest
+    idle_ms: tuple = (1000, 1500, 2500, LONGEST_IDLE_MS)
+    config_pause: tuple = (0.15, 0.7)  # Seconds.
+    slow_run: float = 0.02  # Seconds of the processor time that a slow VM gets, between two times in which it stands still.
+    slow_stop: float = 0.13
+    slow_vms: str = "any"  # Or "first", or "leaving".
+    series: tuple = ("config", "store", "release", "silence", "stop", "hup", "slow", "storm")
+
+
+CASES = {
+    "all": Case(),
+    "idle": Case(
+        vms=("vm-1", "vm-2"),
+        callers=500,
+        half_closing_callers=0,
+        keys=60_000,
+        kinds=("book", "look", "book", "look", "book", "look", "draft"),
+        silent_share=0.2,
+        rest=long_rest,
+        idle_ms=(1000, LONGEST_IDLE_MS, LONGEST_IDLE_MS),
+        config_pause=(0.6, 1.2),
+        slow_run=0.015,
+        slow_stop=0.135,
+        slow_vms="first",
+        series=("config", "release", "silence", "hup", "slow"),
+    ),
+    "stop": Case(
+        vms=("vm-1", "vm-2"),
+        callers=300,
+        half_closing_callers=0,
+        keys=20_000,
+        slots=64,
+        kinds=("look", "draft", "resume", "draft"),
+        silent_share=0.1,
+        rest=no_rest,
+        slow_run=0.01,
+        slow_stop=0.14,
+        slow_vms="leaving",
+    ),
+}
+
+
 class Journal:
     """What workers have run, and what was planned when."""
 
@@ -318,17 +383,12 @@
     def __init__(self, arguments):
         self.journal = Journal()
         self.fleet = RelayFleet(arguments.build)
-        self.seed, self.seconds, self.callers, self.keys, self.freeze = (
-            arguments.seed,
-            arguments.seconds,
-            arguments.callers,
-            arguments.keys,
-            arguments.freeze,
-        )
-        self.version, self.idle_s, self.moved = 0, 3.0, False
+        self.seed, self.seconds, self.freeze = arguments.seed, arguments.seconds, arguments.freeze
+        self.case = CASES[arguments.case]
+        self.version, self.sent_configs, self.idle_s, self.moved = 0, 0, 3.0, False
         self.store_lock = threading.Lock()
         self.workers, self.worker_count = [], 0
-        self.boots = {name: 0 for name in VMS}
+        self.boots = {name: 0 for name in self.case.vms}
         self.stopped, self.open_vms, self.logs, self.slow = {}, set(), {}, []
         self.requests = []
         self.done = threading.Event()
@@ -352,6 +412,7 @@
 
     def configure(self, choices):
         self.version += choices.randint(1, 4)
+        self.sent_configs += 1
         config = make_configuration(self.version, ["k-1"])
         timeout_ms = choices.choice((4000, 5000, 6000, 7000))
         self.moved = choices.random() < 0.5 if choices.random() < 0.3 else self.moved
@@ -362,12 +423,13 @@
                 route["service"] += "-b"
         if choices.random() < 0.4:
             config["routes"].append({**config["routes"][0], "name": "extra", "path_prefix": f"/extra-{self.version}/"})
-        config["services"][1]["engine"].update(slots=8, kv_tokens=1_000_000)
+        config["services"][1]["engine"].update(slots=self.case.slots, kv_tokens=10_000_000)
         config["services"] += [{**service, "name": service["name"] + "-b"} for service in config["services"]]
-        idle_ms = choices.choice((1000, 1500, 2500, 4000))
+        idle_ms = choices.choice(self.case.idle_ms)
         config["limits"].update(idle_ms=idle_ms, body_bytes=choices.choice((32768, 65536)), header_bytes=choices.choice((8192, 16384)))
         config["tenants"][0].update(rate_per_s=10_000_000, burst=10_000_000)
-        config["tenants"].append({"name": "t2", "api_keys": [f"other-{choices.randint(1, 10**9)}" for _ in range(self.keys)], "rate_per_s": 10, "burst": 10, "priority": choices.randint(0, 3)})
+        keys = [f"other-{choices.randint(1, 10**9)}" for _ in range(self.case.keys)]
+        config["tenants"].append({"name": "t2", "api_keys": keys, "rate_per_s": 10, "burst": 10, "priority": choices.randint(0, 3)})
         with self.journal.lock:
             self.journal.timeouts.append((self.journal.now(), timeout_ms / 1000))
         self.append("keyed.op", "config", config)
@@ -376,7 +438,7 @@
 
     def change_configurations(self):
         choices = self.choices("config")
-        while not self.done.wait(choices.uniform(0.15, 0.7)):
+        while not self.done.wait(choices.uniform(*self.case.config_pause)):
             self.configure(choices)
 
     def slow_store(self):
@@ -394,7 +456,7 @@
         self.worker_count += 1
         server = Server((HOST, 0), Handler)
         server.name, server.stage, server.received, server.service = f"i-{service}-{stage or 'plain'}-{self.worker_count}", stage, [], service
-        server.journal, server.silent_until, server.active, server.slots = self.journal, 0.0, 0, 8 if stage else 64
+        server.journal, server.silent_until, server.active, server.slots = self.journal, 0.0, 0, self.case.slots if stage else 64
         threading.Thread(target=server.serve_forever, daemon=True).start()
         entry = {**worker_entry(server, service, stage), "slots": server.slots, "born": self.worker_count}
         self.workers.append(server)
@@ -446,7 +508,7 @@
 
     def stop_vms(self):
         choices = self.choices("stop")
-        order = list(VMS)
+        order = list(self.case.vms)
         choices.shuffle(order)
         self.done.wait(3.0)
         while not self.done.wait(choices.uniform(0.3, 2.0)):
@@ -474,26 +536,35 @@
     def hang_up_vms(self):
         choices = self.choices("hup")
         while not self.done.wait(choices.uniform(0.5, 2.5)):
-            name = choices.choice(VMS)
+            name = choices.choice(self.case.vms)
             self.journal.note(f"SIGHUP {name}")
             self.signal_vm(name, signal.SIGHUP)
 
+    def vms_to_slow(self):
+        if self.case.slow_vms == "any":
+            return self.case.vms
+        if self.case.slow_vms == "first":
+            return self.case.vms[:1]
+        return [name for name, boot in list(self.stopped) if boot == self.boots[name]] or [None]
+
     def slow_vms(self):
         choices = self.choices("slow")
-        while not self.done.wait(choices.uniform(1.0, 4.0)):
-            name, span = choices.choice(VMS), choices.uniform(1.5, 4.0)
+        while not self.done.wait(choices.uniform(1.0, 4.0) if self.case.slow_vms == "any" else 0.05):
+            name, span = choices.choice(self.vms_to_slow()), choices.uniform(1.5, 4.0)
+            if name is None:
+                continue
             self.journal.note(f"{name} is slow for {span:.2f} s")
             begin, end = self.journal.now(), time.monotonic() + span
-            if self.freeze:
+            if self.freeze > 0:
                 self.freeze_vm(name, choices.uniform(self.freeze / 3, self.freeze))
             while time.monotonic() < end:
                 process = self.fleet.relays[name][0]
                 if process.poll() is not None:
                     break
                 process.send_signal(signal.SIGSTOP)
-                time.sleep(SLOW_STOP_S)
+                time.sleep(self.case.slow_stop)
                 process.send_signal(signal.SIGCONT)
-                time.sleep(SLOW_RUN_S)
+                time.sleep(self.case.slow_run)
             self.slow.append((name, begin, self.journal.now()))
 
     def freeze_vm(self, name, span):
@@ -516,9 +587,9 @@
                 time.sleep(0.05)
 
     def make_request(self, choices, request_id, half_closed=False):
-        kind = choices.choice(("book", "look", "draft", "resume", "draft"))
+        kind = choices.choice(self.case.kinds)
         silence = None
-        if choices.random() < 0.5:
+        if choices.random() < self.case.silent_share:
             silence = (choices.choice(STREAM_SILENCES if kind in ("draft", "resume") else PLAIN_SILENCES), choices.uniform(*SILENCE_S))
         return Request(request_id, kind, silence, choices.uniform(5.0, 8.0), half_closed)
 
@@ -540,11 +611,10 @@
 
     def call(self, number):
         choices = self.choices(f"caller-{number}")
-        half_closed = number < HALF_CLOSING_CALLERS
+        half_closed = number < self.case.half_closing_callers
         connection, count = None, 0
         while not self.done.is_set():
-            rest = choices.choice((0.0, choices.uniform(0.0, 0.2), choices.uniform(0.5, REUSE_FRACTION) * self.idle_s))
-            time.sleep(rest)
+            time.sleep(self.case.rest(choices, self.idle_s))
             # A configuration that lowered the idle limit meanwhile is not known to the caller.
             if connection is not None and connection.is_closed():
                 connection.close()
@@ -647,7 +717,7 @@
         for error in self.errors:
             findings[error] += 1
         silent = sum(request.silence is not None for request in self.requests)
-        print(f"seed {self.seed}: {len(self.requests)} requests, {silent} with a silence of their own, {self.version} is the last configuration, {len(self.stopped)} SIGTERMs")
+        print(f"seed {self.seed}: {len(self.requests)} requests, {silent} with a silence of their own, {self.sent_configs} configurations, {len(self.stopped)} SIGTERMs")
         print(f"prefill results that had lapsed: {self.journal.lapsed_handles}")
         print(f"ends: {dict(sorted(counts.items()))}")
         print(f"callers that ended their sending direction: {dict(sorted(ends.items()))}")
@@ -670,24 +740,24 @@
         for service in ("llm", "llm-b"):
             for stage in ("prefill", "prefill", "decode", "decode", "decode"):
                 self.add_worker(service, stage)
-        for name in VMS:
+        for name in self.case.vms:
             self.start_vm(name)
-        for name in VMS:
+        for name in self.case.vms:
             wait_for(f"{name} is ready", lambda name=name: self.fleet.is_ready(name), 6.0)
         time.sleep(1.5)
-        self.open_vms.update(VMS)
-        series = (
-            self.change_configurations,
-            self.slow_store,
-            self.release_workers,
-            self.silence_workers,
-            self.stop_vms,
-            self.hang_up_vms,
-            self.slow_vms,
-            self.storm,
-        )
-        callers = [threading.Thread(target=self.guard, args=(lambda number=number: self.call(number),)) for number in range(self.callers)]
-        planned = [threading.Thread(target=self.guard, args=(task,)) for task in series]
+        self.open_vms.update(self.case.vms)
+        series = {
+            "config": self.change_configurations,
+            "store": self.slow_store,
+            "release": self.release_workers,
+            "silence": self.silence_workers,
+            "stop": self.stop_vms,
+            "hup": self.hang_up_vms,
+            "slow": self.slow_vms,
+            "storm": self.storm,
+        }
+        callers = [threading.Thread(target=self.guard, args=(lambda number=number: self.call(number),)) for number in range(self.case.callers)]
+        planned = [threading.Thread(target=self.guard, args=(task,)) for task in (series[name] for name in self.case.series)]
         for thread in callers + planned:
             thread.start()
         time.sleep(self.seconds)
@@ -702,8 +772,7 @@
     parser.add_argument("--build", required=True)
     parser.add_argument("--seed", type=int, default=SEED)
     parser.add_argument("--seconds", type=float, default=SECONDS)
-    parser.add_argument("--callers", type=int, default=CALLERS)
-    parser.add_argument("--keys", type=int, default=1, help="keys of another account in each configuration")
+    parser.add_argument("--case", choices=CASES, default="all")
     parser.add_argument("--freeze", type=float, default=0.0, help="seconds for which VMs stand still at most")
     arguments = parser.parse_args()
     play = Play(arguments)
