Handle answers before the deadlines after a suspension

What callers saw: a VM that had been suspended for over a second ended requests with 504, cut streams and sent second attempts with the first message that it handled, whatever that was, although the answers followed it.

Cause: relay_core::handle() ran a whole tick before the first message after a suspension. Only the view of the fleet is needed there, as the limits depend on the VMs that have not been heard since.

Change: the first message after a suspension runs the exchange with the fleet only. The deadlines wait for the tick, which is due at once and which the event loop puts behind the pending input. A request whose deadline has passed is not sent to an endpoint meanwhile.

--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -256,6 +256,9 @@
 bool relay_requests::place(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
+    if (now >= entry.deadline) {
+        return false; // The tick that ends the request is late.
+    }
     const auto request = placementRequestOf(entry);
     if (entry.source) {
         const placement_context context{
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -126,7 +126,7 @@
     };
     const model_placement placement{usable(grant.prefill), usable(grant.serving), {}};
     m_components.metrics.placementWait.add(now - entry.arrivedAt);
-    if (placement.decode != nullptr && (grant.prefill.empty() || placement.prefill != nullptr)) {
+    if (now < entry.deadline && placement.decode != nullptr && (grant.prefill.empty() || placement.prefill != nullptr)) {
         apply(entry, placement);
         scheduleWakeup(entry);
     } else if (place(entry)) {
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -90,7 +90,7 @@
     time_point nextExchange{};
     std::uint64_t reportedWork = 0; // Version of the work that the last heartbeat reported.
     time_point lastReportAt{};
-    time_point lastTickAt = time_point::max();
+    time_point lastFleetCheckAt = time_point::max(); // Time of the last tick, or of a first message after a suspension.
     time_point nextFetch{};
     time_point nextMembersRead{};
     stop_sequence stop;
@@ -432,9 +432,11 @@
 
 void relay_core::handle(relay_input message)
 {
-    // A VM that was suspended notices first which other VMs it has not heard since.
-    if (m_state->components.clock.now() - m_state->lastTickAt > suspensionTime) {
-        tick();
+    // A VM that was suspended notices first which other VMs it has not heard since. Its requests wait for the tick, as their answers may have arrived.
+    const auto now = m_state->components.clock.now();
+    if (now - m_state->lastFleetCheckAt > suspensionTime) {
+        m_state->lastFleetCheckAt = now;
+        m_state->exchangeFleetMessages(now);
     }
     std::visit([this](auto &&content) { m_state->on(std::forward<decltype(content)>(content)); }, std::move(message));
     m_state->applyQuarantine(m_state->components.clock.now());
@@ -447,7 +449,7 @@
 void relay_core::tick()
 {
     const auto now = m_state->components.clock.now();
-    m_state->lastTickAt = now;
+    m_state->lastFleetCheckAt = now;
     m_state->requests.tick(now);
     m_state->requests.placeWaiting();
     m_state->components.endpoints.tick(now);
--- a/test/late_timers_test.cpp
+++ b/test/late_timers_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "clocks.hpp"
 #include "core_loop.hpp"
@@ -200,3 +201,98 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(late_timers_of_suspended_cores, relay_fixture)
+
+// Guards against failures of requests whose answers have arrived while the VM was suspended: any message failed all of them first.
+BOOST_AUTO_TEST_CASE(answersAfterASuspensionPrecedeTheDeadline)
+{
+    configureDesks();
+    sendRequest("/book/1");
+    sendRequest("/book/2");
+    core.tick();
+    clock.advance(milliseconds{2500});
+    core.handle(members_read{});
+    collect();
+    for (const auto &dispatch : std::vector(dispatches)) {
+        reply(dispatch, 200);
+    }
+    core.tick();
+    collect();
+    BOOST_TEST(answers.size() == 2);
+    BOOST_TEST(failures.empty());
+}
+
+// Guards against a request without an answer that outlives its deadline because the VM was suspended.
+BOOST_AUTO_TEST_CASE(requestsWithoutAnAnswerEndWithTheTickAfterASuspension)
+{
+    configureDesks();
+    sendRequest("/book/1");
+    core.tick();
+    clock.advance(milliseconds{2500});
+    core.handle(members_read{});
+    BOOST_TEST((core.nextTick() <= clock.now()));
+    core.tick();
+    collect();
+    BOOST_REQUIRE_EQUAL(failures.size(), 1);
+    BOOST_TEST((failures[0].reason == failure::DeadlineExceeded));
+}
+
+// Guards against a stream that is cut as stalled although its next events have arrived while the VM was suspended.
+BOOST_AUTO_TEST_CASE(eventsAfterASuspensionPrecedeTheEndOfAStream)
+{
+    auto config = sampleRelayConfig();
+    config.routes[2].timeout = std::chrono::seconds{30};
+    configure(config);
+    announce({endpointNamed("dec-1", "llm", endpoint_role::Decode)});
+    submit("/draft/1", "k-acme", std::chrono::seconds{30}, token_count{10, 10, {}});
+    beginStream(dispatches.back());
+    streamPart(dispatches.back(), "id: 1\ndata: a\n\n");
+    core.tick();
+    clock.advance(std::chrono::seconds{4});
+    core.handle(members_read{});
+    streamPart(dispatches.back(), "id: 2\ndata: b\n\n");
+    core.tick();
+    endAttempt(dispatches.back(), reply_outcome::Complete);
+    BOOST_TEST(abortedAnswers == 0);
+    BOOST_TEST(streamEnds == 1);
+}
+
+// Guards against a second attempt for a request whose answer has arrived while the VM was suspended.
+BOOST_AUTO_TEST_CASE(answersAfterASuspensionPrecedeTheFailover)
+{
+    configureDesks();
+    sendRequest("/lookup/1", "k-acme", milliseconds{2000});
+    core.tick();
+    clock.advance(milliseconds{1500});
+    core.handle(members_read{});
+    collect();
+    reply(dispatches.front(), 200);
+    core.tick();
+    collect();
+    BOOST_TEST(dispatches.size() == 1);
+    BOOST_TEST(answers.size() == 1);
+}
+
+// Guards against a request that is sent to an endpoint after its deadline, when an answer after the suspension has freed the place it waited for.
+BOOST_AUTO_TEST_CASE(requestsThatWaitedAreNotSentAfterTheirDeadline)
+{
+    configure(sampleRelayConfig());
+    announce({endpointNamed("desk-1", "desk")});
+    while (core.status()["waiting_requests"] == 0) {
+        BOOST_REQUIRE_LT(lastCaller, 100);
+        sendRequest("/book/1");
+    }
+    const auto sent = dispatches.size();
+    core.tick();
+    clock.advance(milliseconds{2500});
+    reply(dispatches.front(), 200);
+    reply(dispatches[1], 503, true);
+    BOOST_TEST(dispatches.size() == sent);
+    core.tick();
+    collect();
+    BOOST_TEST(answers.size() == 1);
+    BOOST_TEST(failures.size() == sent);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
