Look at the socket before a call to an endpoint times out

What callers saw: after a VM stood still, calls to endpoints ended as timed out, or as not connected, although the answer or the established connection waited to be handled.

Cause: as for the tick of the core, the timer of a call runs before the sockets that the reactor has not fetched yet. The handler did not look at its socket.

Evidence: 300 calls with a process that sleeps beyond the timeout, unit/late_timers_of_calls.

Change: a deadline that passes while the socket has bytes, an end, or its connection is extended by 200 ms, once for each deadline. bytesExtendTheTimeoutOnce passes with and without the change; it guards against an endpoint that extends a call with a byte now and then.

--- a/shell/client_connection.cpp
+++ b/shell/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -25,6 +26,8 @@
 
 // Subtracted from the idle time that the peer announces, so that no request is sent while the peer's close is on its way.
 constexpr auto idleMargin = std::chrono::milliseconds{500};
+// Extension of a deadline that passes while the event loop has not yet handled what has arrived.
+constexpr auto pendingEventTime = std::chrono::milliseconds{200};
 constexpr std::size_t smallReadSize = 4 * 1024UL; // Bytes. Holds some tens of tokens.
 constexpr std::size_t largeReadSize = 64 * 1024UL; // Bytes. Used after a read that filled its buffer.
 constexpr std::uint32_t maxHeadSize = 16 * 1024; // Bytes of a status line with its header, and of the trailer.
@@ -224,13 +227,19 @@
 void client_connection::setDeadline(steady_clock::time_point deadline)
 {
     m_deadline = deadline;
+    m_deadlineExtended = false;
+    scheduleTimer();
+}
+
+void client_connection::scheduleTimer()
+{
     // A pending wait that expires earlier is extended when it expires, so that a received token costs no timer operation.
-    if (m_timerPending && m_timerExpiry <= deadline) {
+    if (m_timerPending && m_timerExpiry <= m_deadline) {
         return;
     }
     m_timerPending = true;
-    m_timerExpiry = deadline;
-    m_timer.expires_at(deadline);
+    m_timerExpiry = m_deadline;
+    m_timer.expires_at(m_deadline);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
         if (self && !error) {
@@ -245,13 +254,24 @@
     if (!m_receiver) {
         return;
     }
-    if (steady_clock::now() < m_deadline) {
-        setDeadline(m_deadline);
+    const auto now = steady_clock::now();
+    if (now >= m_deadline && !m_deadlineExtended && hasPendingEvent()) {
+        m_deadlineExtended = true;
+        m_deadline = now + pendingEventTime;
+    }
+    if (now < m_deadline) {
+        scheduleTimer();
         return;
     }
     fail(m_requestMaybeSent ? transfer_end::TimedOut : transfer_end::ConnectFailed);
 }
 
+bool client_connection::hasPendingEvent()
+{
+    pollfd state{.fd = m_socket.native_handle(), .events = static_cast<short>(m_requestMaybeSent ? POLLIN : POLLOUT), .revents = 0};
+    return m_socket.is_open() && ::poll(&state, 1, 0) > 0;
+}
+
 // Reads the parameter timeout=SECONDS of the Keep-Alive header.
 void client_connection::readIdleLimit()
 {
--- a/shell/client_connection.hpp
+++ b/shell/client_connection.hpp
@@ -79,7 +79,10 @@
     void readIdleLimit();
     void setUnacknowledgedTimeout();
     void setDeadline(std::chrono::steady_clock::time_point deadline);
+    void scheduleTimer();
     void onTimer();
+    // Returns true if the socket has what the call waits for: the established connection, or bytes or the end of the response.
+    bool hasPendingEvent();
     void complete();
     void fail(transfer_end end);
 
@@ -99,6 +102,7 @@
     std::chrono::steady_clock::time_point m_startedAt;
     std::size_t m_readSize = 0;
     bool m_timerPending = false;
+    bool m_deadlineExtended = false;
     bool m_reading = false;
     bool m_writing = false;
     bool m_requestMaybeSent = false; // A byte of the request may have reached the peer.
--- a/test/late_timers_test.cpp
+++ b/test/late_timers_test.cpp
@@ -1,6 +1,7 @@
 // Tests that a VM which stood still handles what has arrived meanwhile before it acts on the times that have passed.
 #include <chrono>
 #include <functional>
+#include <map>
 #include <thread>
 
 #include <boost/asio/post.hpp>
@@ -296,3 +297,105 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+// Calls over the HTTP client, which the test answers.
+struct call_fixture {
+    call_fixture()
+        : acceptor(io, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+    }
+
+    void start(http_client &http, milliseconds timeout)
+    {
+        for (int number = 0; number < requestCount; ++number) {
+            http_call call{.request = makeRequest(boost::beast::http::verb::get, "/"), .timeout = timeout};
+            http.start("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                       std::move(call),
+                       collectResponse([this](transfer_end end, bool, int, const http_fields &, const std::string &) { ++ends[end]; }));
+        }
+    }
+    void accept()
+    {
+        while (connections.size() < requestCount) {
+            connections.emplace_back(acceptor.accept());
+        }
+    }
+    void runFor(milliseconds time)
+    {
+        runUntil(
+            io, [] { return false; }, time);
+    }
+
+    boost::asio::io_context io;
+    tcp::acceptor acceptor;
+    std::deque<raw_connection> connections;
+    std::map<transfer_end, int> ends;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(late_timers_of_calls, call_fixture)
+
+// Guards against a call that times out although its answer has arrived and is not read yet.
+BOOST_AUTO_TEST_CASE(unreadAnswersPrecedeTheTimeout)
+{
+    http_client http(io, {.connectTimeout = milliseconds{2000}, .maxIdlePerAddress = 4});
+    start(http, milliseconds{600});
+    accept();
+    runUntil(io, [&] { return std::all_of(connections.begin(), connections.end(), [](auto &each) { return each.has("\r\n\r\n"); }); });
+    std::this_thread::sleep_for(milliseconds{700});
+    for (auto &each : connections) {
+        each.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+    }
+    runFor(milliseconds{400});
+    BOOST_TEST(ends[transfer_end::Complete] == requestCount);
+    BOOST_TEST(ends[transfer_end::TimedOut] == 0);
+}
+
+// Guards against a connection that counts as failed although it is established.
+BOOST_AUTO_TEST_CASE(establishedConnectionsPrecedeTheConnectTimeout)
+{
+    acceptor.listen(2 * requestCount);
+    http_client http(io, {.connectTimeout = milliseconds{100}, .maxIdlePerAddress = 4});
+    // The reactor fetches its expired timers with the first events.
+    boost::asio::steady_timer earlierTimer(io, milliseconds{1});
+    earlierTimer.async_wait([](const boost::system::error_code & /*error*/) {});
+    std::this_thread::sleep_for(milliseconds{10});
+    start(http, milliseconds{5000});
+    accept();
+    std::this_thread::sleep_for(milliseconds{200});
+    runUntil(io, [&] {
+        for (auto &each : connections) {
+            if (each.has("\r\n\r\n")) {
+                each.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+            }
+        }
+        return ends[transfer_end::Complete] + ends[transfer_end::ConnectFailed] == requestCount;
+    });
+    BOOST_TEST(ends[transfer_end::Complete] == requestCount);
+    BOOST_TEST(ends[transfer_end::ConnectFailed] == 0);
+}
+
+// Guards against a call that never ends because its endpoint sends a byte now and then.
+BOOST_AUTO_TEST_CASE(bytesExtendTheTimeoutOnce)
+{
+    http_client http(io, {.connectTimeout = milliseconds{2000}, .maxIdlePerAddress = 4});
+    const auto startedAt = std::chrono::steady_clock::now();
+    start(http, milliseconds{300});
+    accept();
+    for (auto &each : connections) {
+        each.send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+    }
+    while (ends[transfer_end::TimedOut] < requestCount && std::chrono::steady_clock::now() - startedAt < milliseconds{1500}) {
+        for (auto &each : connections) {
+            each.send("x");
+        }
+        runFor(milliseconds{20});
+    }
+    BOOST_TEST(ends[transfer_end::TimedOut] == requestCount);
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < milliseconds{1000}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
