Keep a signal behind the end of a stop from changing the exit code

Operators saw: a VM that had logged "Stopped." ended with -1 (killed by SIGHUP) instead of 0.

Cause: the signal set of the VM is destroyed before the process exits, and the default action of SIGHUP ends it. All callers have their answers by then.

Change: the signals are blocked once the event loop has ended. No unit test: the window is the destruction of the VM; the play checks the exit code.

--- a/shell/program.hpp
+++ b/shell/program.hpp
@@ -1,6 +1,7 @@
 // Command line and exit codes of the programs that are configured by a settings file.
 #pragma once
 
+#include <csignal>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -17,6 +18,17 @@
 inline constexpr int exitFailed = 1;
 inline constexpr int exitInvalidSettings = 2;
 
+// Keeps signals that arrive behind the end of the event loop from ending the process by their default action.
+inline void blockSignals()
+{
+    sigset_t signals{};
+    ::sigemptyset(&signals);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+        ::sigaddset(&signals, signal);
+    }
+    ::sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 // Loads the settings and runs one VM on one thread until it has stopped. makeVm(io, settings) returns the VM.
 template<class LoadSettings, class MakeVm>
 absl::Status serveVm(const std::string &file, LoadSettings loadSettings, MakeVm makeVm)
@@ -31,6 +43,7 @@
         return started;
     }
     io.run();
+    blockSignals();
     return absl::OkStatus();
 }
 
