Repeat evidence of crashes only to VMs that know something else

What callers saw: nothing; for 10 minutes after crashes of endpoints the control traffic of a VM was above the target of 11 KB/s on average (design.md, section 1).

Cause: each VM told all crashes and answers that it remembered again for 0.7 s every 5 s, although all VMs knew them.

Change: each message has a digest of the evidence that its sender knows. A VM that receives another digest than its own repeats its evidence for 0.7 s, at most every 5 s as long as they differ, so that a lost repetition only delays it. More crashes or answers than a message holds are repeated in turn. Crashes are neither told nor taken over in the last 10 s before they are forgotten: VMs forget them at slightly different times, and would tell them to each other for ever.

The digest is an optional fourth element of the evidence. VMs of an earlier version ignore it; without it a VM counts as one that knows no crash, so that the evidence is repeated every 5 s to VMs of an earlier version, as before.

Weighed against it: repeating only when a VM is heard after a silence. A VM counts as silent after 1.5 s; a shorter cut, a freeze or lost messages hide evidence as well.

Process tests were not run.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -239,8 +239,11 @@
     std::vector<endpoint_crash> crashes;
     std::vector<answered_trait> answered;
     std::vector<quarantined_requests> quarantined;
+    // Digest of all crashes and answers that the VM knows. VMs that know the same have the same one. It is 0 without crashes and from VMs of an earlier
+    // version.
+    std::uint32_t digest = 0;
 
-    bool empty() const { return crashes.empty() && answered.empty() && quarantined.empty(); }
+    bool empty() const { return crashes.empty() && answered.empty() && quarantined.empty() && digest == 0; }
 };
 
 // Message of a VM to the hubs of its data centre. It carries everything that the VM adds to the state of the fleet.
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -179,17 +179,21 @@
 
 json encodeEvidence(const crash_report &evidence)
 {
-    return {encodeList(evidence.crashes,
-                       [](const auto &crash) {
-                           return json{crash.endpoint.value, crash.startedAt, toMilliseconds(crash.age), encodeList(crash.requests, encodeTraits)};
-                       }),
-            encodeList(evidence.answered,
-                       [](const auto &answered) {
-                           return json{answered.trait.value, toMilliseconds(answered.age)};
-                       }),
-            encodeList(evidence.quarantined, [](const auto &request) {
-                return json{encodeTraits(request.traits), toMilliseconds(request.left), toMilliseconds(request.age), request.crashes, request.released};
-            })};
+    json out{encodeList(evidence.crashes,
+                        [](const auto &crash) {
+                            return json{crash.endpoint.value, crash.startedAt, toMilliseconds(crash.age), encodeList(crash.requests, encodeTraits)};
+                        }),
+             encodeList(evidence.answered,
+                        [](const auto &answered) {
+                            return json{answered.trait.value, toMilliseconds(answered.age)};
+                        }),
+             encodeList(evidence.quarantined, [](const auto &request) {
+                 return json{encodeTraits(request.traits), toMilliseconds(request.left), toMilliseconds(request.age), request.crashes, request.released};
+             })};
+    if (evidence.digest != 0) {
+        out.push_back(evidence.digest);
+    }
+    return out;
 }
 
 crash_report decodeEvidence(const json &in)
@@ -211,6 +215,10 @@
                                     wholeNumber<std::int32_t>(request.at(3)),
                                     request.at(4).get<bool>()};
     });
+    // VMs that know no crash, or of an earlier version, send no digest.
+    if (in.size() > 3) {
+        evidence.digest = wholeNumber<std::uint32_t>(in.at(3));
+    }
     return evidence;
 }
 
--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace plantainpoint {
 
@@ -11,7 +12,9 @@
 
 constexpr auto memoryTime = std::chrono::minutes{10}; // Crashes and answers are forgotten after this time.
 constexpr auto tellingTime = milliseconds{700}; // News is repeated for this time, so that a lost message only delays it.
-constexpr auto retellInterval = std::chrono::seconds{5}; // It is told again, so that VMs that were cut off learn of it.
+constexpr auto repeatInterval = std::chrono::seconds{5}; // Time between two repetitions for VMs that know something else.
+// Crashes are not told after this time, as a VM that has forgotten them would take them over anew.
+constexpr auto maxToldAge = memoryTime - std::chrono::seconds{10};
 // Endpoints that end within this time count as one crash, as a failure of their machine or network ends several at once.
 constexpr auto sameCrashTime = milliseconds{20};
 constexpr std::int32_t neededForNewTraits = 3;
@@ -23,19 +26,31 @@
 constexpr std::size_t maxTold = 16; // Crashes, or answered traits, in one message.
 constexpr std::size_t maxToldRequests = 256; // Lost requests in one message, so that it fits into a datagram.
 
-// Returns whether messages carry what became known at a time.
-bool isTold(time_point knownAt, time_point now)
+// Returns the entries of a map in the order of their keys, beginning after a key and ending with it.
+template<class Map>
+std::vector<typename Map::const_iterator> entriesAfter(const Map &map, const typename Map::key_type &key)
 {
-    return (now - knownAt) % retellInterval < tellingTime;
+    std::vector<typename Map::const_iterator> entries;
+    const auto first = map.upper_bound(key);
+    for (auto it = first; it != map.end(); ++it) {
+        entries.push_back(it);
+    }
+    for (auto it = map.begin(); it != first; ++it) {
+        entries.push_back(it);
+    }
+    return entries;
 }
 
 } // namespace
 
 void crash_evidence::onCrash(const endpoint_name &endpoint, std::int64_t startedAt, const std::vector<request_traits> &requests, time_point at, time_point now)
 {
+    if (now - at >= maxToldAge) {
+        return;
+    }
     const auto [it, added] = m_crashes.try_emplace({endpoint, startedAt});
     auto &entry = it->second;
-    entry.at = added ? at : std::min(entry.at, at);
+    const auto before = std::exchange(entry.at, added ? at : std::min(entry.at, at));
     bool news = added;
     for (const auto &request : requests) {
         const bool known = std::find(entry.requests.begin(), entry.requests.end(), request) != entry.requests.end();
@@ -56,6 +71,10 @@
     if (news) {
         entry.learntAt = now;
     }
+    // Whether an answer came after the crash depends on its time.
+    if (news || entry.at != before) {
+        m_digest.reset();
+    }
     if (m_crashes.size() > maxCrashes) {
         m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &a, const auto &b) { return a.second.at < b.second.at; }));
     }
@@ -71,9 +90,12 @@
             continue;
         }
         auto &entry = m_answers[trait];
-        entry.at = std::max(entry.at, at);
+        const auto before = std::exchange(entry.at, std::max(entry.at, at));
         if (lost != m_lostTraits.end()) {
             wasLost = true;
+            if (before < lost->second) {
+                m_digest.reset();
+            }
             tellIfNews(entry, lost->second, now);
         }
     }
@@ -95,6 +117,7 @@
 
 void crash_evidence::forgetOldAnswers(time_point now)
 {
+    m_digest.reset();
     std::erase_if(m_answers, [&](const auto &item) { return now - item.second.at > memoryTime; });
     if (m_answers.size() <= maxAnswers) {
         return;
@@ -268,23 +291,120 @@
     return isKnown ? countMoments(crashes) < neededForAnsweredTraits : answered && *answered > quarantinedAt;
 }
 
-void crash_evidence::addRecent(crash_report &evidence, time_point now) const
+void crash_evidence::addTold(crash_report &evidence, time_point now) const
 {
     std::size_t requests = 0;
-    for (const auto &[key, entry] : m_crashes) {
+    const auto addCrash = [&](const crash_key &key, const crash &entry) {
         const bool fits = evidence.crashes.size() < maxTold && requests + entry.requests.size() <= maxToldRequests;
-        if (isTold(entry.learntAt, now) && fits) {
+        if (fits && now - entry.at < maxToldAge) {
             requests += entry.requests.size();
             evidence.crashes.push_back({key.first, key.second, now - entry.at, entry.requests});
         }
+    };
+    const auto addAnswer = [&](const request_trait &trait, const answer &entry) {
+        if (evidence.answered.size() < maxTold) {
+            evidence.answered.push_back({trait, now - entry.at});
+        }
+    };
+    const auto isNews = [&](time_point knownAt) { return now - knownAt < tellingTime; };
+    for (const auto &[key, entry] : m_crashes) {
+        if (isNews(entry.learntAt)) {
+            addCrash(key, entry);
+        }
     }
     for (const auto &[trait, lostAt] : m_lostTraits) {
         const auto it = m_answers.find(trait);
-        const bool isNews = it != m_answers.end() && it->second.toldAt != time_point{};
-        if (isNews && isTold(it->second.toldAt, now) && evidence.answered.size() < maxTold) {
-            evidence.answered.push_back({trait, now - it->second.at});
+        if (it != m_answers.end() && isNews(it->second.toldAt)) {
+            addAnswer(trait, it->second);
         }
     }
+    if (!isRepeated(now)) {
+        return;
+    }
+    for (const auto &key : m_repetition.crashes) {
+        const auto it = m_crashes.find(key);
+        if (it != m_crashes.end() && !isNews(it->second.learntAt)) {
+            addCrash(key, it->second);
+        }
+    }
+    for (const auto &trait : m_repetition.answers) {
+        const auto it = m_answers.find(trait);
+        if (it != m_answers.end() && !isNews(it->second.toldAt)) {
+            addAnswer(trait, it->second);
+        }
+    }
+}
+
+std::uint32_t crash_evidence::digest(time_point now) const
+{
+    if (m_digest && now < m_digest->validUntil) {
+        return m_digest->value;
+    }
+    std::uint64_t sum = 0;
+    auto validUntil = time_point::max();
+    for (const auto &[key, entry] : m_crashes) {
+        if (now - entry.at >= maxToldAge) {
+            continue;
+        }
+        validUntil = std::min(validUntil, entry.at + maxToldAge);
+        const auto crashHash = stableHash(std::to_string(key.second), stableHash(key.first.value));
+        sum += crashHash;
+        // VMs may know different ones of the lost requests if there are more than a VM remembers.
+        if (entry.requests.size() >= maxRequestsPerCrash) {
+            continue;
+        }
+        std::set<request_trait> traits;
+        for (const auto &request : entry.requests) {
+            sum += stableHash(traitsText(request), crashHash);
+            traits.insert(request.begin(), request.end());
+        }
+        // The times of answers differ among VMs. What counts is which crashes they are later than.
+        for (const auto &trait : traits) {
+            if (const auto answered = answeredAt(trait)) {
+                sum += stableHash(*answered >= entry.at ? "answered after" : "answered before", stableHash(trait.value, crashHash));
+            }
+        }
+    }
+    const auto folded = static_cast<std::uint32_t>(sum ^ (sum >> 32U));
+    m_digest = {.value = sum == 0 ? 0 : std::max(folded, 1U), .validUntil = validUntil};
+    return m_digest->value;
+}
+
+void crash_evidence::onDigest(std::uint32_t other, time_point now)
+{
+    if (!m_crashes.empty() && other != digest(now) && (!m_repetition.at || now - *m_repetition.at >= repeatInterval)) {
+        repeat(now);
+    }
+}
+
+void crash_evidence::repeat(time_point now)
+{
+    m_repetition.at = now;
+    m_repetition.crashes.clear();
+    m_repetition.answers.clear();
+    std::size_t requests = 0;
+    for (const auto &it : entriesAfter(m_crashes, m_repetition.lastCrash)) {
+        requests += it->second.requests.size();
+        if (m_repetition.crashes.size() >= maxTold || requests > maxToldRequests) {
+            break;
+        }
+        m_repetition.crashes.insert(it->first);
+        m_repetition.lastCrash = it->first;
+    }
+    for (const auto &it : entriesAfter(m_lostTraits, m_repetition.lastAnswer)) {
+        if (m_repetition.answers.size() >= maxTold) {
+            break;
+        }
+        if (m_answers.contains(it->first)) {
+            m_repetition.answers.insert(it->first);
+            m_repetition.lastAnswer = it->first;
+        }
+    }
+}
+
+bool crash_evidence::isRepeated(time_point now) const
+{
+    return m_repetition.at && now - *m_repetition.at < tellingTime;
 }
 
 void crash_evidence::tick(time_point now)
@@ -292,6 +412,7 @@
     if (std::erase_if(m_crashes, [&](const auto &item) { return now - item.second.at > memoryTime; }) == 0) {
         return;
     }
+    m_digest.reset();
     m_lostTraits.clear();
     for (const auto &[key, entry] : m_crashes) {
         for (const auto &request : entry.requests) {
--- a/src/crash_evidence.hpp
+++ b/src/crash_evidence.hpp
@@ -35,8 +35,12 @@
     // Returns whether answers on all of the traits contradict that they were quarantined at the time.
     bool isRefuted(const request_traits &traits, time_point quarantinedAt) const;
 
-    // Adds what this VM has learnt lately, and every few seconds what it has learnt before.
-    void addRecent(crash_report &evidence, time_point now) const;
+    // Adds what this VM has learnt lately, and what it repeats for others.
+    void addTold(crash_report &evidence, time_point now) const;
+    // Returns a digest of what VMs tell each other of crashes, or 0 if there is nothing to tell. VMs that know the same have the same one.
+    std::uint32_t digest(time_point now) const;
+    // Takes over the digest of another VM. What this VM knows is repeated for a moment if the digests differ, and every few seconds as long as they do.
+    void onDigest(std::uint32_t other, time_point now);
     void tick(time_point now);
 
 private:
@@ -57,6 +61,19 @@
 
     using crash_key = std::pair<endpoint_name, std::int64_t>;
 
+    struct repetition {
+        std::optional<time_point> at;
+        std::set<crash_key> crashes;
+        std::set<request_trait> answers;
+        // The last ones of them. The next repetition goes on after them, so that everything is repeated although a message has a limited size.
+        crash_key lastCrash;
+        request_trait lastAnswer;
+    };
+    struct cached_digest {
+        std::uint32_t value = 0;
+        time_point validUntil{};
+    };
+
     std::optional<time_point> answeredAt(const request_trait &trait) const;
     trait_record recordOf(const request_trait &trait, const std::vector<const crash *> &crashes) const;
     static std::int32_t countMoments(const std::vector<const crash *> &crashes);
@@ -64,10 +81,14 @@
     request_traits commonTraits(const request_trait &trait, const trait_record &record) const;
     static void tellIfNews(answer &entry, time_point lostAt, time_point now);
     void forgetOldAnswers(time_point now);
+    void repeat(time_point now);
+    bool isRepeated(time_point now) const;
 
     std::map<crash_key, crash> m_crashes;
     std::map<request_trait, time_point> m_lostTraits; // Traits that stand in some crash, with the time of the last one.
     std::unordered_map<request_trait, answer> m_answers;
+    repetition m_repetition;
+    mutable std::optional<cached_digest> m_digest; // It is empty after a change.
 };
 
 } // namespace plantainpoint
--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -87,6 +87,7 @@
         m_evidence.onAnswered({answered.trait}, now - answered.age, now);
         m_changed = true;
     }
+    m_evidence.onDigest(evidence.digest, now);
     for (auto told : evidence.quarantined) {
         told.traits = sortedTraits(std::move(told.traits));
         if (told.traits.empty()) {
@@ -229,7 +230,8 @@
 crash_report request_quarantine::evidence(time_point now) const
 {
     crash_report result;
-    m_evidence.addRecent(result, now);
+    m_evidence.addTold(result, now);
+    result.digest = m_evidence.digest(now);
     for (const auto &[traits, item] : m_entries) {
         if (item.isActive(now) || (item.released && now - item.changedAt < releaseMemoryTime)) {
             result.quarantined.push_back(describe(traits, item, now));
--- a/test/crashing_prompts_test.cpp
+++ b/test/crashing_prompts_test.cpp
@@ -18,6 +18,7 @@
 constexpr auto stableTime = seconds{3};
 constexpr std::size_t toleratedCrashes = 5;
 constexpr std::size_t toleratedSends = 3;
+constexpr double toleratedBytesPerSecond = 11'000; // Control traffic that the operators allow a VM at the largest size (design.md, section 1).
 
 const std::string poison = "bad0bad0";
 
@@ -165,6 +166,25 @@
         return count;
     }
 
+    struct traffic {
+        double average = 0; // Bytes a second that a VM sends and receives.
+        double most = 0; // Of the VM with the most.
+    };
+    // Measures the messages between VMs while sound requests come.
+    traffic measureTraffic(const std::string &text, seconds time)
+    {
+        fleet.resetCounts();
+        run(time, 8, [&] { return std::vector{"first" + std::to_string(fleet.randomBelow(3))}; });
+        traffic result;
+        for (const auto &each : fleet.vms) {
+            const auto rate = static_cast<double>(each.bytes) / static_cast<double>(time.count());
+            result.average += rate / static_cast<double>(fleet.vms.size());
+            result.most = std::max(result.most, rate);
+        }
+        BOOST_TEST_MESSAGE(text << ": a VM sends and receives " << result.average << " bytes a second, the one with the most " << result.most);
+        return result;
+    }
+
     // Checks the operator's bounds. The crashing part comes until now.
     void check(const std::string &text) const
     {
@@ -367,6 +387,23 @@
     replay.check("60 VMs");
 }
 
+// Guards against evidence of crashes that every VM repeats for as long as it is remembered, although all VMs know it.
+BOOST_AUTO_TEST_CASE(evidenceThatAllVmsKnowIsNotRepeated)
+{
+    crash_replay replay(3, 20, 3);
+    replay.measureTraffic("before the crashes", seconds{3});
+    replay.run(seconds{20}, 14, [&] {
+        auto parts = std::vector{anyOf(replay, "first", 3)};
+        if (replay.fleet.randomBelow(14) < 6) {
+            parts.push_back(poison);
+        }
+        return parts;
+    });
+    replay.check("60 VMs");
+    const auto after = replay.measureTraffic("after " + std::to_string(replay.crashes.size()) + " crashes", seconds{20});
+    BOOST_TEST(after.average <= toleratedBytesPerSecond, "a VM sends and receives " << after.average << " bytes a second on average");
+}
+
 // Guards against a VM that hears no other VM and goes on sending what the others have learnt to refuse, and the other way round. Both reach the
 // directory.
 BOOST_AUTO_TEST_CASE(cutOffVmsLearnOfACrashingPart)
--- a/test/crashing_requests_test.cpp
+++ b/test/crashing_requests_test.cpp
@@ -344,6 +344,33 @@
     });
 }
 
+// Guards against crashes that are not linked because some VMs were cut off while they were told, for too short a time to count as silent.
+BOOST_AUTO_TEST_CASE(crashesDuringShortCutsAreLinked)
+{
+    forSeeds([](unsigned seed) {
+        crash_replay replay(seed, crashingLookup);
+        replay.run(seconds{3}, 0);
+        for (std::size_t part = 0; part < 3; ++part) {
+            for (std::size_t from = 0; from < replay.fleet.vms.size(); ++from) {
+                for (std::size_t to = 0; to < replay.fleet.vms.size(); ++to) {
+                    if (from % 3 != to % 3) {
+                        replay.fleet.cutLinks.insert({from, to});
+                    }
+                }
+            }
+            replay.sendTo(part, crashingLookup, false);
+            replay.run(milliseconds{1400}, 0);
+            replay.fleet.cutLinks.clear();
+            replay.run(seconds{8}, 0);
+        }
+        const auto crashesBefore = replay.crashes.size();
+        BOOST_TEST_REQUIRE(crashesBefore >= 3U);
+        replay.run(seconds{10}, 3);
+        BOOST_TEST(replay.crashes.size() == crashesBefore,
+                   "seed " << seed << ": " << replay.crashes.size() - crashesBefore << " endpoints ended after the cuts");
+    });
+}
+
 // Guards against a fleet that forgets a crashing request when all of its VMs are killed.
 BOOST_AUTO_TEST_CASE(aCrashingRequestIsRememberedWhenAllVmsAreKilled)
 {
--- a/test/odd_records_test.cpp
+++ b/test/odd_records_test.cpp
@@ -341,6 +341,21 @@
     BOOST_TEST(addresses["w-1"] == "10.0.0.1:1");
 }
 
+// Guards against the digest of the evidence of crashes that makes messages unreadable: it is left out if it is 0, as in messages of an earlier version.
+BOOST_AUTO_TEST_CASE(theDigestOfEvidenceIsOptional)
+{
+    for (const std::uint32_t digest : {0U, 1U, 0xffffffffU}) {
+        const fleet_heartbeat sent{.from = {{"vm-1"}, 1}, .address = "127.0.0.1:1", .evidence = {.digest = digest}};
+        const auto heartbeat = decodeFleetMessage(encodeHeartbeat(sent));
+        BOOST_REQUIRE(heartbeat.ok());
+        BOOST_TEST(std::get<fleet_heartbeat>(*heartbeat).evidence.digest == digest);
+        const fleet_summary summary{.from = {{"vm-1"}, 1}, .address = "127.0.0.1:1", .evidence = {.digest = digest}};
+        const auto decoded = decodeFleetMessage(encodeSummary(encodeSummaryBody(summary), 1, 1));
+        BOOST_REQUIRE(decoded.ok());
+        BOOST_TEST(std::get<fleet_summary>(*decoded).evidence.digest == digest);
+    }
+}
+
 // Guards against a large entry in the changes that each summary carries: a hub cannot send a summary that is longer than a datagram, and its VMs hear
 // nothing more of it.
 BOOST_FIXTURE_TEST_CASE(largeEntriesDoNotOutgrowADatagram, store_fixture)
--- a/test/request_quarantine_test.cpp
+++ b/test/request_quarantine_test.cpp
@@ -219,6 +219,81 @@
     BOOST_TEST(late.timeLeft(traitsOf({"bad"}), now).has_value());
 }
 
+// Guards against crashes that a VM never learns of because it was cut off when they were told, or because the repetition was lost as well, and against
+// a repetition that no VM needs.
+BOOST_AUTO_TEST_CASE(crashesAreRepeatedUntilAllVmsKnowThem)
+{
+    crash({traitsOf({"bad"})});
+    crash({traitsOf({"bad"}), traitsOf({"a"})});
+    answer(traitsOf({"a"}));
+    now += seconds{5};
+    request_quarantine late;
+    BOOST_TEST(quarantine.evidence(now).crashes.empty());
+    // The first repetition is lost.
+    tell(late, quarantine, now);
+    BOOST_TEST(quarantine.evidence(now).crashes.size() == 2U);
+    now += seconds{5};
+    BOOST_TEST(quarantine.evidence(now).crashes.empty());
+    tell(late, quarantine, now);
+    tell(quarantine, late, now);
+    BOOST_TEST(late.evidence(now).digest == quarantine.evidence(now).digest);
+    BOOST_TEST(late.knowsCrashes());
+    for (int i = 0; i < 4; ++i) {
+        now += seconds{5};
+        tell(late, quarantine, now);
+        tell(quarantine, late, now);
+        BOOST_TEST(quarantine.evidence(now).crashes.empty());
+        BOOST_TEST(quarantine.evidence(now).answered.empty());
+        BOOST_TEST(late.evidence(now).crashes.empty());
+    }
+    // Each VM misses what the other one sees next: an answer and a crash.
+    late.onAnswered(traitsOf({"bad"}), now);
+    crash({traitsOf({"b"})}, milliseconds{1});
+    now += seconds{5};
+    tell(late, quarantine, now);
+    tell(quarantine, late, now);
+    tell(late, quarantine, now);
+    BOOST_TEST(late.evidence(now).digest == quarantine.evidence(now).digest);
+    BOOST_TEST(late.isSuspicious(traitsOf({"b"})));
+    BOOST_TEST(!quarantine.isSuspicious(traitsOf({"bad"})));
+}
+
+// Guards against crashes that are never repeated because others fill the message.
+BOOST_AUTO_TEST_CASE(moreCrashesThanAMessageHoldsAreRepeatedInTurn)
+{
+    for (int i = 0; i < 40; ++i) {
+        const auto name = "a" + std::to_string(i);
+        crash({traitsOf({name.c_str()})});
+        answer(traitsOf({name.c_str()}));
+    }
+    request_quarantine late;
+    for (int i = 0; i < 3; ++i) {
+        now += seconds{5};
+        tell(late, quarantine, now);
+        BOOST_TEST(quarantine.evidence(now).crashes.size() <= 16U);
+        tell(quarantine, late, now);
+    }
+    BOOST_TEST(late.evidence(now).digest == quarantine.evidence(now).digest);
+}
+
+// Guards against VMs that tell each other for ever of a crash that they forget at slightly different times.
+BOOST_AUTO_TEST_CASE(forgottenCrashesAreNotTakenOverAgain)
+{
+    crash({traitsOf({"a"})});
+    request_quarantine other;
+    other.onEvidence(quarantine.evidence(now), now + milliseconds{5});
+    now += minutes{10} + milliseconds{1};
+    quarantine.tick(now);
+    BOOST_TEST(!quarantine.knowsCrashes());
+    other.tick(now);
+    BOOST_TEST(other.knowsCrashes());
+    tell(quarantine, other, now);
+    tell(other, quarantine, now);
+    BOOST_TEST(!quarantine.knowsCrashes());
+    quarantine.onEvidence({.crashes = {{.endpoint = {"dec-1"}, .startedAt = 1, .age = minutes{10} - milliseconds{3}, .requests = {traitsOf({"a"})}}}}, now);
+    BOOST_TEST(!quarantine.knowsCrashes());
+}
+
 // Guards against a wrong decision that stays: a VM that did not know of answers elsewhere decides, and the VM that wrote them tells.
 BOOST_AUTO_TEST_CASE(answersElsewhereReleaseATrait)
 {
