Serve connections that were accepted before the listener closed

Cause: while several connections wait in the queue, the next one is accepted at once and its handler is queued. A stop that came in between closed the listener, and the handler dropped a connection that it had: the request on it was neither answered nor refused.

Change: the handler keeps every connection that it gets.

Evidence: unit/http_server_limits, connectionsThatWereAcceptedBeforeTheListenerClosedAreServed, failed before (not all of 4 requests arrived), passes.

--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -209,11 +209,13 @@
 void http_server::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (!error) {
+            addSession(std::move(socket));
+        }
         if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
             return;
         }
         if (!error) {
-            addSession(std::move(socket));
             accept();
             return;
         }
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -222,6 +222,22 @@
     }
 }
 
+// Guards against a connection that is dropped with its request because it was accepted, and not handled, when the listener was closed.
+BOOST_AUTO_TEST_CASE(connectionsThatWereAcceptedBeforeTheListenerClosedAreServed)
+{
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<raw_connection>(io, server->port()));
+        callers.back()->send("GET /a HTTP/1.1\r\n\r\n");
+    }
+    while (metrics.connections == 0) {
+        io.run_one();
+    }
+    server->beginClosing();
+    server->closeIdle();
+    BOOST_TEST(requestsArrive(4));
+}
+
 // Guards against a request that is reset because it arrives after its idle connection was selected for the close, and before the close.
 BOOST_AUTO_TEST_CASE(requestsThatArriveBeforeTheCloseOfTheirIdleConnectionAreAnswered)
 {
