Share the setup of tests of stalled and stopping servers

No behaviour changes: the steps that several cases repeated stand in the fixtures (found with duplicates). The cases do and check what they did.

--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -48,6 +48,13 @@
         const std::string body = R"({"model":"m","prompt":"pears","max_tokens":8)" + extra + "}";
         return "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k-1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
+    // Sends a request and answers it with the head of a stream.
+    void beginStream(raw_connection &caller)
+    {
+        caller.send("GET /a HTTP/1.1\r\n\r\n");
+        BOOST_REQUIRE(requestsArrive());
+        server->run(answer_stream_head{requests[0].caller, 200, {}});
+    }
     request_label label() const { return {{vm_name{"vm-1"}, 7}, 1}; }
 
     boost::asio::io_context io;
@@ -300,9 +307,7 @@
 BOOST_AUTO_TEST_CASE(streamsThatBeganBeforeAStopLeaveTheirConnectionOpen)
 {
     raw_connection caller(io, server->port());
-    caller.send("GET /a HTTP/1.1\r\n\r\n");
-    BOOST_REQUIRE(requestsArrive());
-    server->run(answer_stream_head{requests[0].caller, 200, {}});
+    beginStream(caller);
     server->run(answer_stream_bytes{requests[0].caller, "data: 1\n\n"});
     BOOST_REQUIRE(runUntil(io, [&] { return caller.has("data: 1"); }));
     server->beginClosing();
@@ -320,9 +325,7 @@
 BOOST_AUTO_TEST_CASE(streamsThatEndLateInAStopCloseTheirConnection)
 {
     raw_connection caller(io, server->port());
-    caller.send("GET /a HTTP/1.1\r\n\r\n");
-    BOOST_REQUIRE(requestsArrive());
-    server->run(answer_stream_head{requests[0].caller, 200, {}});
+    beginStream(caller);
     server->beginClosing();
     server->closeIdle();
     server->run(answer_stream_end{requests[0].caller});
@@ -333,9 +336,7 @@
 BOOST_AUTO_TEST_CASE(requestsBehindALateStreamOfAStopAreAnswered)
 {
     raw_connection caller(io, server->port());
-    caller.send("GET /a HTTP/1.1\r\n\r\n");
-    BOOST_REQUIRE(requestsArrive());
-    server->run(answer_stream_head{requests[0].caller, 200, {}});
+    beginStream(caller);
     server->beginClosing();
     server->closeIdle();
     server->run(answer_stream_end{requests[0].caller});
--- a/test/stalled_vm_test.cpp
+++ b/test/stalled_vm_test.cpp
@@ -63,6 +63,24 @@
     // Stands for a VM that gets no processor time: nothing runs in its event loop. Its timers expire before what arrives afterwards.
     static void stall() { std::this_thread::sleep_for(stallTime); }
 
+    // Has the first bytes of each body arrive before the stall and the rest during it.
+    void checkArrivingBodies(const std::string &rest)
+    {
+        const std::string start = "half";
+        connect();
+        for (auto &caller : callers) {
+            caller->send("POST /second HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(start.size() + rest.size()) + "\r\n\r\n" + start);
+        }
+        io.restart();
+        io.run_for(50ms);
+        stall();
+        for (auto &caller : callers) {
+            caller->send(rest);
+        }
+        BOOST_TEST(runUntil(io, [&] { return requests == 2 * callerCount; }));
+        BOOST_TEST(answered("HTTP/1.1 400 ") == 0U);
+    }
+
     boost::asio::io_context io;
     shell_metrics metrics;
     std::unique_ptr<http_server> server;
@@ -92,35 +110,13 @@
 // Guards against requests that are refused as incomplete although their rest arrived while the VM stood still.
 BOOST_AUTO_TEST_CASE(requestsWhoseRestWaitedUnreadAreAnswered)
 {
-    connect();
-    for (auto &caller : callers) {
-        caller->send("POST /second HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf");
-    }
-    io.restart();
-    io.run_for(50ms);
-    stall();
-    for (auto &caller : callers) {
-        caller->send("rest");
-    }
-    BOOST_TEST(runUntil(io, [&] { return requests == 2 * callerCount; }));
-    BOOST_TEST(answered("HTTP/1.1 400 ") == 0U);
+    checkArrivingBodies("rest");
 }
 
 // Guards against the same for bodies that take more than one read: a read that has completed waits behind the sweep.
 BOOST_AUTO_TEST_CASE(longBodiesThatWaitedUnreadAreAnswered)
 {
-    connect();
-    for (auto &caller : callers) {
-        caller->send("POST /second HTTP/1.1\r\nHost: x\r\nContent-Length: 20004\r\n\r\nhalf");
-    }
-    io.restart();
-    io.run_for(50ms);
-    stall();
-    for (auto &caller : callers) {
-        caller->send(std::string(20'000, 'x'));
-    }
-    BOOST_TEST(runUntil(io, [&] { return requests == 2 * callerCount; }));
-    BOOST_TEST(answered("HTTP/1.1 400 ") == 0U);
+    checkArrivingBodies(std::string(20'000, 'x'));
 }
 
 // Guards against answers that are cut as unread although their callers have read while the VM stood still.
