--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -89,7 +89,7 @@
     void sweep(std::chrono::steady_clock::time_point now);
     // Refuses a request that is being received, as this VM is shutting down.
     void refuseArriving();
-    // Closes a connection without a request, unless bytes of one have just been read.
+    // Closes a resting connection, or refuses the request that is being received, unless further bytes have arrived.
     void closeUnlessRead(close_reason reason);
     void close(close_reason reason);
     // Returns whether no request is open or partly received and no output is left.
