Log the limits that endpoints name

The header of the platform is read in the adapter from every kind of answer that is the endpoint's own (2xx, 4xx, 5xx, not run, heads of streams, prefills), but not from one to another request or from another endpoint at the address. request_limit decides which answer is the newest word: answers overtake each other, so an answer without a limit ends one only if its request was sent after the last answer that named it. Each change is one line of the log. Placement does not ask for it yet.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -68,6 +68,11 @@
     std::int32_t waiting = 0;
 };
 
+// What an endpoint says of itself in the head of an answer.
+struct endpoint_statement {
+    std::optional<double> requestLimit; // Requests per second that it takes from all VMs together. Empty: it names no limit.
+};
+
 // Complete answer that is not a stream of events.
 struct relay_reply {
     attempt_number attempt = 0;
@@ -78,12 +83,14 @@
     bool notRun = false; // The endpoint states that it has not run the request.
     bool wrongEndpoint = false; // Another endpoint now has the address, or the endpoint has another role.
     std::optional<reported_load> load;
+    std::optional<endpoint_statement> statement; // Empty if the answer may be another endpoint's, or says nothing that can be read.
 };
 
 // Result of a read prompt, which waits for the decode endpoint.
 struct prefill_reply {
     attempt_number attempt = 0;
     std::string handle;
+    std::optional<endpoint_statement> statement;
 };
 
 // How the end of an answer is marked.
@@ -105,6 +112,7 @@
     std::vector<header> headers;
     std::optional<reported_load> load;
     answer_framing framing = answer_framing::Chunks;
+    std::optional<endpoint_statement> statement;
 };
 
 struct stream_part {
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -25,6 +25,7 @@
     bool notRun = false;
     bool wrongEndpoint = false;
     std::optional<reported_load> load;
+    std::optional<endpoint_statement> statement;
 };
 
 // clang-format off
@@ -98,9 +99,10 @@
         m_reply.notRun = traits.notRun;
         m_reply.wrongEndpoint = traits.wrongEndpoint;
         m_reply.load = traits.load;
+        m_reply.statement = traits.statement;
         m_streaming = m_streamRequested && traits.genuine && status / 100 == 2;
         if (m_streaming) {
-            m_client.m_sink(stream_head{m_reply.attempt, status, std::move(m_reply.headers), traits.load, framingOf(fields)});
+            m_client.m_sink(stream_head{m_reply.attempt, status, std::move(m_reply.headers), traits.load, framingOf(fields), traits.statement});
         }
     }
 
@@ -123,7 +125,7 @@
         } else if (m_streaming) {
             m_client.m_sink(relay_attempt_ended{m_reply.attempt, reply_outcome::Complete});
         } else if (auto handle = prefillHandle()) {
-            m_client.m_sink(prefill_reply{m_reply.attempt, std::move(*handle)});
+            m_client.m_sink(prefill_reply{m_reply.attempt, std::move(*handle), m_reply.statement});
         } else {
             m_client.m_sink(std::move(m_reply));
         }
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -9,6 +9,7 @@
 
 #include "plantainpoint/clock.hpp"
 #include "plantainpoint/relay.hpp"
+#include "request_limit.hpp"
 
 namespace plantainpoint {
 
@@ -64,6 +65,7 @@
     std::uint64_t announcements = 0; // Announcements that changed what is known of the endpoint.
     std::optional<time_point> misdirectedSince; // The endpoint refused a request as not meant for it.
     duration misdirectedTime{}; // Length of the last exclusion after such a refusal, which doubles with each one.
+    request_limit limit;
 
     bool usable(time_point now) const;
     // Returns whether the endpoint accepts work now, as far as this VM knows.
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -231,6 +231,19 @@
     }
 }
 
+// Records what the endpoint says of itself in the head of an answer.
+void relay_requests::recordStatement(const relay_attempt &attempt, const std::optional<endpoint_statement> &statement)
+{
+    auto *const endpoint = m_components.endpoints.find(attempt.endpoint);
+    if (endpoint == nullptr || !statement || !endpoint->limit.onAnswer(*statement, attempt.sentAt, m_components.clock.now())) {
+        return;
+    }
+    const auto limit = endpoint->limit.perSecond();
+    m_components.logMessage(severity::Info,
+                            log_component::Monitor,
+                            "endpoint=" + attempt.endpoint.value + (limit ? " limit_per_s=" + std::to_string(*limit) : " names no limit any more"));
+}
+
 void relay_requests::recordAttemptOutcome(const relay_entry &entry, bool succeeded)
 {
     if (!entry.attempt) {
@@ -339,6 +352,7 @@
     if (entry == nullptr) {
         return;
     }
+    recordStatement(*entry->attempt, reply.statement);
     recordAttemptOutcome(*entry, true);
     const auto *const prefill = m_components.endpoints.find(entry->attempt->endpoint);
     const auto address = prefill != nullptr ? prefill->info.address : std::string{};
@@ -383,11 +397,12 @@
     if (entry == nullptr) {
         return;
     }
+    auto &attempt = isOverdue(*entry, head.attempt) ? *entry->overdueAttempt : *entry->attempt;
+    recordStatement(attempt, head.statement);
     if (entry->headSent && mediaTypeOf(head.headers) != entry->mediaType) {
         breakOff(*entry, head.attempt);
         return;
     }
-    auto &attempt = isOverdue(*entry, head.attempt) ? *entry->overdueAttempt : *entry->attempt;
     recordReportedLoad(attempt.endpoint, head.load);
     attempt.framing = head.framing;
     attempt.headAt = m_components.clock.now();
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -63,6 +63,7 @@
     if (entry == nullptr) {
         return;
     }
+    recordStatement(isOverdue(*entry, reply.attempt) ? *entry->overdueAttempt : *entry->attempt, reply.statement);
     if (isOverdue(*entry, reply.attempt)) {
         // A stream that has begun has no other answer than its events.
         if (reply.notRun || reply.wrongEndpoint || !reply.genuine || entry->headSent) {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -209,6 +209,7 @@
     void releaseSource(relay_entry &entry);
     void recoverSource(relay_entry &entry, std::optional<prefill_source> source);
     void recordReportedLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
+    void recordStatement(const relay_attempt &attempt, const std::optional<endpoint_statement> &statement);
     void recordHoldTime(const relay_entry &entry);
     void recordAttemptOutcome(const relay_entry &entry, bool succeeded);
     static request_traits traitsOf(const relay_entry &entry);
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -358,4 +358,36 @@
     BOOST_TEST(!dialect.belongs(fieldsOf({{"X-Request-Id", "id-2"}}), "id-1"));
 }
 
+// Guards against a limit that a worker names being missed, and against a value that cannot be read setting or ending one.
+BOOST_AUTO_TEST_CASE(aWorkersLimitIsReadFromItsAnswers)
+{
+    const auto statementOf = [](int status, const std::vector<std::string> &values, const std::string &id = "id-1") {
+        std::vector<header> headers{{"X-Request-Id", id}};
+        for (const auto &value : values) {
+            headers.push_back({"server-LIMIT", value});
+        }
+        http_fields fields;
+        for (const auto &each : headers) {
+            fields.insert(each.name, each.value);
+        }
+        return worker_dialect{}.traits(status, fields, "id-1").statement;
+    };
+    for (const int status : {200, 400, 429, 500, 503, 504}) {
+        const auto statement = statementOf(status, {"6.2"});
+        BOOST_REQUIRE(statement.has_value());
+        BOOST_TEST(statement->requestLimit.value_or(-1) == 6.2);
+    }
+    BOOST_TEST(!statementOf(200, {}).value_or(endpoint_statement{1}).requestLimit.has_value());
+    BOOST_TEST(statementOf(200, {"0"}).value_or(endpoint_statement{}).requestLimit.value_or(-1) == 0);
+    BOOST_TEST(statementOf(200, {"0.25"}).value_or(endpoint_statement{}).requestLimit.value_or(-1) == 0.25);
+    BOOST_TEST(statementOf(200, {"1e300"}).value_or(endpoint_statement{}).requestLimit.value_or(-1) == 1e6);
+    BOOST_TEST(statementOf(200, {"7", "4", "9"}).value_or(endpoint_statement{}).requestLimit.value_or(-1) == 4);
+    for (const auto *value : {"", "x", "-1", "nan", "inf", "6.2/s", "6,2", "1e999", "0x10"}) {
+        BOOST_TEST(!statementOf(200, {value}).has_value(), value);
+    }
+    // Another worker has the address, or the answer is one to an earlier request.
+    BOOST_TEST(!statementOf(421, {"6.2"}).has_value());
+    BOOST_TEST(!statementOf(200, {"6.2"}, "id-2").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
