Let streams go on only at the software version that began them

Cause: the version of an endpoint was not read, and neither was the header by which a caller names the stream that it takes up. A stream went on at any endpoint of its service, in one answer and over its caller's tries. Class: state that has to outlast the VM that made it, kept nowhere.

Change: a stream is bound to the version of the run that brings its first event; placement, here and at the hub, takes endpoints of that version only. Each service has a default version in the store; a stream that begins elsewhere, or at a VM that does not know the default for certain, is recorded there before its first event is passed on. A VM looks a taken-up stream up by a read that begins after the request has arrived.

Also of this matter: a stream whose id chooses among weighted services keeps the service; streams that are taken up come before new requests in the queue; a request that waits for its version does not hold up those behind it.

Fixtures answer the new calls to the directory, as a store does.

--- a/include/plantainpoint/failure.hpp
+++ b/include/plantainpoint/failure.hpp
@@ -48,6 +48,8 @@
     NotFound,
     Internal,
     Quarantined,
+    StreamVersionGone, // No endpoint has the software version that began the stream.
+    StreamVersionUnknown, // The version that began the stream cannot be told.
 };
 
 // What is known about the execution of a refused or failed request.
@@ -101,6 +103,8 @@
     failure_entry{failure::NotFound, "not_found", 404},
     failure_entry{failure::Internal, "internal", 500},
     failure_entry{failure::Quarantined, "quarantined", 503},
+    failure_entry{failure::StreamVersionGone, "stream_version_gone", 503},
+    failure_entry{failure::StreamVersionUnknown, "stream_version_unknown", 503},
 };
 
 constexpr const failure_entry &entryOf(failure kind)
--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -263,6 +263,26 @@
     bool empty() const { return crashes.empty() && answered.empty() && quarantined.empty() && digest == 0; }
 };
 
+// Where a stream began.
+struct stream_origin {
+    service_name service;
+    software_version version;
+
+    bool operator==(const stream_origin &) const = default;
+};
+
+// Record of a stream in the directory.
+struct stream_record {
+    std::uint64_t stream = 0; // Digest of the id of the request that brought the first event.
+    stream_origin origin;
+};
+
+// Versions at which streams without a record began.
+struct default_versions {
+    std::vector<stream_origin> origins;
+    duration age{}; // Time since the begin of the read of the directory that returned them.
+};
+
 // Message of a VM to the hubs of its data centre. It carries everything that the VM adds to the state of the fleet.
 struct fleet_heartbeat {
     incarnation_id from;
@@ -319,6 +339,7 @@
     std::vector<account_usage> usage; // Admissions of the data centre, or of this VM only in another scope.
     crash_report evidence;
     std::vector<limit_report> limits; // Limits that endpoints name, after each change and again from time to time.
+    std::optional<default_versions> defaults; // Included from time to time.
     // Last heartbeat of the receiver that the totals include, or its last totals if it is a hub of another data centre. The sequence is 0 if
     // there is none.
     std::uint64_t receiverIncarnation = 0;
@@ -350,6 +371,7 @@
     account_name account; // Its limit is checked by the hub. The name is empty if there is no limit or the hub has checked it before.
     double units = 0;
     bool begun = false; // The caller has a part of its answer.
+    std::optional<software_version> version; // Version that the endpoint has to have.
 };
 
 enum class placement_result : std::uint8_t {
@@ -404,6 +426,28 @@
     std::vector<quarantined_requests> quarantined;
 };
 
+// Result of a read_stream_records command.
+struct stream_records_read {
+    bool succeeded = false; // All records that were stored when the read began are known.
+    std::vector<stream_record> streams; // Records since the read before, oldest first.
+    std::optional<std::vector<stream_origin>> defaults; // Default versions, if they were to be read.
+    std::uint64_t defaultsEnd = 0; // Position behind the last default.
+    duration age{}; // Time since the begin of the read.
+};
+
+// Result of an append_stream_records command. Without success, the records may still be stored later.
+struct stream_records_appended {
+    bool succeeded = false;
+};
+
+// Result of a set_default_versions command.
+struct default_versions_set {
+};
+
+// The directory has lost a part of its history, so that records of streams and default versions may be missing.
+struct stream_records_lost {
+};
+
 struct role_order_answered {
     endpoint_name endpoint;
     int status = 0; // Zero: there was no answer, and the order may be carried out later.
@@ -435,6 +479,10 @@
                                  role_order_answered,
                                  endpoint_checked,
                                  quarantine_read,
+                                 stream_records_read,
+                                 stream_records_appended,
+                                 default_versions_set,
+                                 stream_records_lost,
                                  shutdown_requested,
                                  reception_finished>;
 
@@ -573,6 +621,22 @@
     quarantined_requests quarantined;
 };
 
+// Reads the records of streams that were stored since the last read, and the default versions if they are wanted.
+struct read_stream_records {
+    bool defaults = false;
+};
+
+// Stores records of streams in the directory.
+struct append_stream_records {
+    std::vector<stream_record> records;
+};
+
+// Sets the default versions of services if no default has been set since the position.
+struct set_default_versions {
+    std::vector<stream_origin> origins;
+    std::uint64_t end = 0;
+};
+
 // Closes idle connections and accepts no new ones. Requests that are being received go on.
 struct stop_accepting {
 };
@@ -603,6 +667,9 @@
                                    send_role_order,
                                    check_endpoint,
                                    store_quarantine,
+                                   read_stream_records,
+                                   append_stream_records,
+                                   set_default_versions,
                                    stop_accepting,
                                    refuse_arriving,
                                    log_line,
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -307,6 +307,10 @@
     if (in.size() > begunIndex) {
         ask.begun = in.at(begunIndex).get<bool>();
     }
+    constexpr std::size_t versionIndex = 21;
+    if (in.size() > versionIndex) {
+        ask.version = software_version{in.at(versionIndex).get<std::string>()};
+    }
     return ask;
 }
 
@@ -350,6 +354,15 @@
     if (in.size() > 16) {
         summary.limits = decodeList<limit_report>(in.at(16), decodeLimit);
     }
+    if (in.size() > 17) {
+        const auto &defaults = in.at(17);
+        summary.defaults =
+            default_versions{decodeList<stream_origin>(defaults.at(1),
+                                                       [](const json &origin) {
+                                                           return stream_origin{{origin.at(0).get<std::string>()}, {origin.at(1).get<std::string>()}};
+                                                       }),
+                             readMilliseconds(defaults.at(0))};
+    }
     return summary;
 }
 
@@ -411,27 +424,30 @@
             tokens.push_back(*ask.tokens->likelyOutput);
         }
     }
-    const json out{format,
-                   ask.from.vm.value,
-                   ask.from.number,
-                   ask.address,
-                   ask.number,
-                   ask.heartbeat,
-                   ask.cancelled,
-                   ask.service.value,
-                   tokens,
-                   ask.mayPrefill,
-                   ask.priority,
-                   toMicroseconds(ask.age),
-                   toMicroseconds(ask.objective),
-                   toMicroseconds(ask.timeLeft),
-                   toMicroseconds(ask.maxEventGap),
-                   toMicroseconds(ask.holdTime),
-                   encodeList(ask.excluded, [](const auto &name) { return json(name.value); }),
-                   ask.seed,
-                   ask.account.value,
-                   ask.units,
-                   ask.begun};
+    json out{format,
+             ask.from.vm.value,
+             ask.from.number,
+             ask.address,
+             ask.number,
+             ask.heartbeat,
+             ask.cancelled,
+             ask.service.value,
+             tokens,
+             ask.mayPrefill,
+             ask.priority,
+             toMicroseconds(ask.age),
+             toMicroseconds(ask.objective),
+             toMicroseconds(ask.timeLeft),
+             toMicroseconds(ask.maxEventGap),
+             toMicroseconds(ask.holdTime),
+             encodeList(ask.excluded, [](const auto &name) { return json(name.value); }),
+             ask.seed,
+             ask.account.value,
+             ask.units,
+             ask.begun};
+    if (ask.version) {
+        out.push_back(ask.version->value);
+    }
     return askKind + toBytes(out);
 }
 
@@ -467,9 +483,14 @@
              encodeList(summary.candidates, encodeMember),
              summary.hasLoads,
              encodeEvidence(summary.evidence)};
-    if (!summary.limits.empty()) {
+    if (!summary.limits.empty() || summary.defaults) {
         out.push_back(encodeList(summary.limits, encodeLimit));
     }
+    if (summary.defaults) {
+        out.push_back({toMilliseconds(summary.defaults->age), encodeList(summary.defaults->origins, [](const auto &origin) {
+                           return json{origin.service.value, origin.version.value};
+                       })});
+    }
     return toBytes(out);
 }
 
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -33,7 +33,8 @@
 concept relay_platform = endpoint_dialect<typename T::endpoints>
     && requires(caller_request &request, typename T::directory &directory, const std::string &state, const read_order_log &read, const append_order &append,
                 const read_directory &readDirectory, const read_members &readMembers, const import_directory_changes &changes,
-                const store_quarantine &quarantine) {
+                const store_quarantine &quarantine, const read_stream_records &readStreams, const append_stream_records &appendStreams,
+                const set_default_versions &defaults) {
     { T::decodeRequest(request) } -> std::same_as<relay_request>;
     { T::readyPath() } -> std::convertible_to<std::string>;
     directory.start();
@@ -47,6 +48,9 @@
     directory.run(readMembers);
     directory.run(changes);
     directory.run(quarantine);
+    directory.run(readStreams);
+    directory.run(appendStreams);
+    directory.run(defaults);
 };
 // clang-format on
 
@@ -96,6 +100,9 @@
     void run(const read_order_log &command) { m_directory.run(command); }
     void run(const append_order &command) { m_directory.run(command); }
     void run(const store_quarantine &command) { m_directory.run(command); }
+    void run(const read_stream_records &command) { m_directory.run(command); }
+    void run(const append_stream_records &command) { m_directory.run(command); }
+    void run(const set_default_versions &command) { m_directory.run(command); }
     void run(const check_endpoint &command)
     {
         checkEndpoint(m_io, command, [this](endpoint_checked result) { deliver(std::move(result)); });
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -265,6 +265,14 @@
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) { return item.second.info.service == service && item.second.usable(now); });
 }
 
+bool endpoint_directory::hasVersion(const service_name &service, const software_version &version, time_point now) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+        const auto &info = item.second.info;
+        return info.service == service && info.version == version && info.role != endpoint_role::Prefill && item.second.usable(now);
+    });
+}
+
 std::vector<endpoint_name> endpoint_directory::changingRole(time_point now) const
 {
     std::vector<endpoint_name> out;
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -119,6 +119,8 @@
     // Returns all endpoints of a service.
     std::vector<const endpoint_entry *> entriesOf(const service_name &service) const;
     bool hasService(const service_name &service, time_point now) const;
+    // Returns whether an endpoint that can serve has the version.
+    bool hasVersion(const service_name &service, const software_version &version, time_point now) const;
     // Returns the open work of this VM for the heartbeat.
     std::vector<endpoint_load> ownLoads() const;
     // Returns the outcomes since the last call.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -404,7 +404,8 @@
                                                                  .candidates = withLoads ? m_members.candidates(now) : std::vector<fleet_member>{},
                                                                  .hasLoads = withLoads,
                                                                  .evidence = report.evidence,
-                                                                 .limits = report.limits});
+                                                                 .limits = report.limits,
+                                                                 .defaults = report.defaults});
     if (!summary->hasUsage()) {
         return summary;
     }
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -32,7 +32,7 @@
 
 std::optional<model_placement> placer::choose(const placement_request &request, time_point now) const
 {
-    const placement_context context{m_fleet, m_dataCentre, m_speeds, now, request.excluded, request.maxEventGap, request.seed};
+    const placement_context context{m_fleet, m_dataCentre, m_speeds, now, request.excluded, request.maxEventGap, request.version, request.seed};
     if (!request.engine || !request.tokens) {
         auto *const endpoint = choosePlain(plainCandidates(request.service, now), context);
         return endpoint == nullptr ? std::nullopt : std::optional(model_placement{nullptr, endpoint, {}});
@@ -46,7 +46,8 @@
 {
     std::int64_t slots = 1;
     auto holdTime = std::max<duration>(request.holdTime, std::chrono::milliseconds{1});
-    const auto candidates = plainCandidates(request.service, now);
+    auto candidates = plainCandidates(request.service, now);
+    std::erase_if(candidates, [&](const auto *candidate) { return request.version && candidate->info.version != *request.version; });
     for (const auto *candidate : candidates) {
         slots += candidate->info.slots;
         holdTime = std::max(holdTime, candidate->endpointStatistics.meanHoldTime());
@@ -131,6 +132,9 @@
             }
             const auto request = *it;
             const auto placement = choose(request, now);
+            if (!placement && request.version) {
+                continue; // Endpoints of other versions may have room for the requests behind it.
+            }
             if (!placement || !apply(request, *placement)) {
                 break;
             }
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -54,6 +54,7 @@
     , endpoints(stableHash(settings.self.vm.value))
     , fleet({settings.self.vm, settings.peerAddress, settings.dataCentre, settings.capacity}, settings.self.number)
     , limiter(settings.limitTolerance)
+    , versions(clock.now())
     , planner(settings.self.vm, {settings.prefillShare, settings.orderLease})
     , placement(endpoints, fleet, speeds, settings.dataCentre)
 {
@@ -193,7 +194,8 @@
     entry->table = m_components.routes;
     entry->route = route;
     entry->account = account;
-    entry->service = chooseService(*route, request.payload->id);
+    // A stream that is taken up goes on at the service that began it.
+    entry->service = chooseService(*route, request.resumes.empty() ? request.payload->id : request.resumes);
     entry->arrivedAt = m_components.clock.now();
     entry->deadline = entry->arrivedAt + std::min<duration>(request.timeToDeadline, route->timeout);
     entry->lastEventId = request.resumeAfter;
@@ -207,7 +209,11 @@
     const auto caller = stored.request.caller;
     m_entries.emplace(caller, std::move(entry));
     budgetOf(stored.service).earn();
-    placeOrWait(stored);
+    if (stored.takesUpStream()) {
+        lookUpVersion(stored);
+    } else {
+        placeOrWait(stored);
+    }
 }
 
 // Returns the retry budget of this VM for a service: its share of the fleet's retries. A quarter stays free for VMs that start meanwhile.
@@ -238,13 +244,21 @@
     for (const auto *endpoint : m_components.endpoints.entriesOf(entry.service)) {
         holdTime = std::max(holdTime, endpoint->endpointStatistics.meanHoldTime());
     }
+    auto version = entry.version;
+    // While the directory takes no records, streams begin where they need none.
+    if (!version && entry.isStream() && entry.route->resumable && !m_components.versions.canRecord(m_components.clock.now())) {
+        version = m_components.versions.defaultVersion(entry.service);
+        if (version && !m_components.endpoints.hasVersion(entry.service, *version, m_components.clock.now())) {
+            version.reset();
+        }
+    }
     return {.owner = {.number = entry.request.caller},
             .service = entry.service,
             .engine = service != nullptr ? service->engine : std::nullopt,
             .tokens = entry.request.tokens,
             // A request gets only one separate prefill, as further ones would count as repeats.
             .mayPrefill = !entry.prefillTried && !entry.headSent,
-            .begun = entry.headSent,
+            .begun = entry.headSent || entry.takesUpStream(),
             .priority = entry.account != nullptr && entry.account->priority ? *entry.account->priority : entry.route->priority,
             .arrivedAt = entry.arrivedAt,
             .objective = entry.route->objective,
@@ -252,6 +266,7 @@
             .maxEventGap = entry.route->gapObjective,
             .holdTime = holdTime,
             .excluded = entry.triedEndpoints,
+            .version = std::move(version),
             .seed = stableHash(entry.request.payload->id)};
 }
 
@@ -263,8 +278,14 @@
     }
     const auto request = placementRequestOf(entry);
     if (entry.source) {
-        const placement_context context{
-            m_components.fleet, m_components.settings.dataCentre, m_components.speeds, now, request.excluded, request.maxEventGap, request.seed};
+        const placement_context context{m_components.fleet,
+                                        m_components.settings.dataCentre,
+                                        m_components.speeds,
+                                        now,
+                                        request.excluded,
+                                        request.maxEventGap,
+                                        request.version,
+                                        request.seed};
         const auto decodes = m_components.endpoints.candidates(entry.service, endpoint_role::Decode, now);
         if (auto *const decode = chooseDecode(decodes, *request.engine, *request.tokens, context)) {
             decode->pace.take(now);
@@ -337,6 +358,10 @@
         failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is known");
         return;
     }
+    if (entry.version && !m_components.endpoints.hasVersion(entry.service, *entry.version, now)) {
+        failRequest(entry, failure::StreamVersionGone, outcome::NotRun, "no endpoint has version " + entry.version->value);
+        return;
+    }
     entry.queuedAt = now;
     // Only the hub uses limits of endpoints. Other streams that have broken off wait here.
     if ((!entry.headSent || m_components.endpoints.hasLimits(entry.service, now)) && askHub(entry)) {
@@ -424,7 +449,8 @@
         reason = failure::EndpointFailed;
         result = outcome::Unknown;
     }
-    if (result == outcome::NotRun && !retryAfter) {
+    // No later try finds the version of a stream that no endpoint has any more.
+    if (result == outcome::NotRun && !retryAfter && reason != failure::StreamVersionGone) {
         auto base = reason == failure::NoEndpoint ? noEndpointRetry : shortestOverloadRetry;
         // The objective is missed already. A later retry meets a shorter queue.
         if (entry.isStream() && reason == failure::Overloaded) {
@@ -458,6 +484,9 @@
     if (entry.ask) {
         wakeupTime = std::min(wakeupTime, askDueAt(*entry.ask));
     }
+    if (entry.heldUntil) {
+        wakeupTime = std::min(wakeupTime, *entry.heldUntil);
+    }
     if (entry.isStream() && entry.firstEventAt && entry.attempt) {
         wakeupTime = std::min(wakeupTime, stalledAt(entry));
     }
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -49,7 +49,8 @@
                       .holdTime = request.holdTime,
                       .excluded = m_components.endpoints.notAccepting(request.service, now),
                       .seed = request.seed,
-                      .begun = request.begun};
+                      .begun = request.begun,
+                      .version = request.version};
     if (entry.account != nullptr && !entry.limitChecked) {
         ask.account = entry.account->name;
         ask.units = entry.units;
@@ -128,7 +129,8 @@
     };
     const model_placement placement{usable(grant.prefill), usable(grant.serving), {}};
     m_components.metrics.placementWait.add(now - entry.arrivedAt);
-    if (now < entry.deadline && placement.decode != nullptr && (grant.prefill.empty() || placement.prefill != nullptr)) {
+    const bool hasVersion = placement.decode != nullptr && (!entry.version || placement.decode->info.version == *entry.version);
+    if (now < entry.deadline && hasVersion && (grant.prefill.empty() || placement.prefill != nullptr)) {
         apply(entry, placement);
         scheduleWakeup(entry);
     } else if (place(entry)) {
@@ -154,6 +156,7 @@
         .maxEventGap = ask.maxEventGap,
         .holdTime = ask.holdTime,
         .excluded = {ask.excluded.begin(), ask.excluded.end()},
+        .version = ask.version,
         .seed = ask.seed};
     if (ask.cancelled) {
         m_components.placement.remove(request.owner);
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -360,7 +360,8 @@
     entry->source = prefill_source{address, std::move(reply.handle)};
     entry->prefilledAt = m_components.clock.now();
     auto *const decode = m_components.endpoints.find(entry->reservationEndpoint);
-    if (decode != nullptr && decode->acceptsWork(m_components.clock.now())) {
+    const bool hasVersion = decode != nullptr && (!entry->version || decode->info.version == *entry->version);
+    if (hasVersion && decode->acceptsWork(m_components.clock.now())) {
         sendDecode(*entry, *decode);
         scheduleWakeup(*entry);
         return;
@@ -446,10 +447,16 @@
     // Only whole events are progress, so that an endpoint that sends a byte now and then counts as stalled.
     if (events > 0) {
         keepAttempt(*entry, part.attempt);
+        if (!bindVersion(*entry)) {
+            breakOff(*entry, part.attempt);
+            return;
+        }
         forwardHead(*entry);
         onStreamProgress(*entry, now);
     }
-    if (!bytes.empty()) {
+    if (entry->heldUntil) {
+        entry->heldBytes += bytes;
+    } else if (!bytes.empty()) {
         m_components.commands.push_back(answer_stream_bytes{entry->request.caller, bytes});
     }
 }
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -19,8 +19,9 @@
 constexpr duration membersReadInterval = std::chrono::seconds{3}; // Longer than the search for a hub among the known VMs.
 // Changes are repeated for this time, so that a lost summary delays them only.
 constexpr duration changesRepeatTime = std::chrono::milliseconds{700};
-constexpr duration limitRefreshInterval = std::chrono::seconds{1}; // Hubs tell all known limits of endpoints once in this time.
-constexpr duration limitRefreshTime = std::chrono::milliseconds{160}; // Longer than fleetMessageInterval, so that every receiver gets a message within it.
+constexpr duration refreshInterval = std::chrono::seconds{1}; // Hubs tell all known limits and default versions of endpoints once in this time.
+constexpr duration refreshTime = std::chrono::milliseconds{160}; // Longer than fleetMessageInterval, so that every receiver gets a message within it.
+constexpr duration versionsUpdateInterval = std::chrono::seconds{1}; // Pause between two looks for endpoints that are not listed any more.
 constexpr duration shutdownRetry = std::chrono::milliseconds{100}; // Another VM takes the request at once.
 constexpr std::size_t maxFetchedEntries = 256; // Entries of endpoints that a VM that has just started gets from a hub.
 constexpr std::size_t maxFetchedConfigSize = 64 * 1024UL; // Bytes. Larger configurations are read from the directory.
@@ -69,6 +70,7 @@
 
     template<class Message>
     void onMessage(const fleet_view::message_arrival &arrival, const Message &message);
+    void updateVersions();
     void onLevels(const fleet_view::message_arrival &arrival, const fleet_summary &summary);
     void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
     void onSummaryOfDirectory(const fleet_summary &summary);
@@ -95,6 +97,7 @@
     time_point lastFleetCheckAt = time_point::max(); // Time of the last tick, or of a first message after a suspension.
     time_point nextFetch{};
     time_point nextMembersRead{};
+    time_point nextVersionsUpdate{};
     stop_sequence stop;
 };
 
@@ -106,6 +109,7 @@
     const auto previousVersion = components.routes ? components.routes->version() : 0;
     components.routes = std::make_shared<route_table>(read.config);
     components.limiter.setAccounts(read.config->accounts, components.clock.now());
+    updateVersions();
     components.logMessage(severity::Info,
                           log_component::Log,
                           "configuration applied version=" + std::to_string(read.config->version) + " before=" + std::to_string(previousVersion)
@@ -122,6 +126,9 @@
         components.endpoints.onRestored(components.clock.now());
     }
     const auto changed = components.endpoints.onRead(read, components.clock.now());
+    if (!read.changed.empty() || read.whole) {
+        updateVersions();
+    }
     for (const auto &name : changed) {
         const auto *const entry = components.endpoints.find(name);
         if (entry == nullptr) {
@@ -133,8 +140,7 @@
         }
         components.logMessage(severity::Info,
                               log_component::Monitor,
-                              "endpoint=" + name.value + " service=" + entry->info.service.value + " address=" + entry->info.address
-                                  + " version=" + entry->info.version.value + " state="
+                              "endpoint=" + name.value + " service=" + entry->info.service.value + " address=" + entry->info.address + " state="
                                   + (withdrawn                                            ? "withdrawn"
                                      : entry->info.condition == endpoint_condition::Ready ? "ready"
                                                                                           : "leaving")
@@ -154,6 +160,17 @@
     }
 }
 
+// Takes over the versions of the endpoints that are listed now.
+void relay_core::state::updateVersions()
+{
+    const auto now = components.clock.now();
+    nextVersionsUpdate = now + versionsUpdateInterval;
+    if (components.routes) {
+        components.versions.onEndpoints(*components.routes, components.endpoints, now);
+        requests.refuseGoneVersions();
+    }
+}
+
 template<class Message>
 void relay_core::state::onMessage(const fleet_view::message_arrival &arrival, const Message &message)
 {
@@ -194,6 +211,9 @@
     }
     onMessage(arrival, summary);
     onLevels(arrival, summary);
+    if (summary.defaults) {
+        components.versions.onDefaults(*summary.defaults, components.clock.now());
+    }
     components.endpoints.onRoleChange(summary.changingRole, components.clock.now());
     components.endpoints.onReannouncing(summary.knowledge.reannounceLeft, components.clock.now());
     onSummaryOfDirectory(summary);
@@ -270,8 +290,8 @@
 
 own_report relay_core::state::report(time_point now)
 {
-    // The VMs that follow a hub know the limits that it knows. Hubs tell them to VMs that have started.
-    const bool refreshesLimits = components.fleet.isHub() && now.time_since_epoch() % limitRefreshInterval < limitRefreshTime;
+    // The VMs that follow a hub know what it knows of endpoints. Hubs tell it again to VMs that have started.
+    const bool refreshes = components.fleet.isHub() && now.time_since_epoch() % refreshInterval < refreshTime;
     own_report result{.knowledge = {.configVersion = directoryState.configVersion,
                                     .configSize = directoryState.configSize,
                                     .endpointEntries = directoryState.endpointEntries,
@@ -285,7 +305,8 @@
                       .usage = components.limiter.usage(),
                       .outcomes = components.endpoints.takeOutcomes(),
                       .evidence = components.quarantine.evidence(now),
-                      .limits = components.endpoints.limitReports(refreshesLimits, now)};
+                      .limits = components.endpoints.limitReports(refreshes, now),
+                      .defaults = refreshes ? components.versions.defaults(now) : std::nullopt};
     if (now - lastChangeAt < changesRepeatTime) {
         result.changesFrom = directoryState.changesFrom;
         result.changes = directoryState.changes;
@@ -450,6 +471,7 @@
     m_state->applyQuarantine(m_state->components.clock.now());
     // The message may have freed a slot or changed what is known of the endpoints.
     m_state->requests.placeWaiting();
+    m_state->requests.exchangeVersions(m_state->components.clock.now());
     m_state->reportChangedWork(m_state->components.clock.now());
     m_state->advanceStop(m_state->components.clock.now());
 }
@@ -461,6 +483,11 @@
     m_state->requests.tick(now);
     m_state->requests.placeWaiting();
     m_state->components.endpoints.tick(now);
+    m_state->components.versions.tick(now);
+    if (now >= m_state->nextVersionsUpdate) {
+        m_state->updateVersions();
+    }
+    m_state->requests.exchangeVersions(now);
     m_state->exchangeFleetMessages(now);
     m_state->reportChangedWork(now);
     m_state->readDirectory(now);
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -137,6 +137,7 @@
     if (complete) {
         keepAttempt(*entry, message.attempt);
         forwardHead(*entry);
+        releaseHeld(*entry);
         const auto rest = std::string(entry->route->resumable ? entry->attempt->splitter.rest() : std::string_view{});
         if (!rest.empty()) {
             m_components.commands.push_back(answer_stream_bytes{entry->request.caller, rest});
@@ -332,6 +333,12 @@
         } else if (entry.isStream() && entry.firstEventAt && entry.attempt && now >= stalledAt(entry)) {
             recordAttemptOutcome(entry, false);
             abortStream(entry, "the endpoint sent no further event");
+        } else if (entry.heldUntil && now >= *entry.heldUntil) {
+            m_components.logMessage(severity::Warning,
+                                    log_component::Place,
+                                    "request=" + entry.request.payload->id + " begins without a stored record version=" + entry.version->value);
+            releaseHeld(entry);
+            scheduleWakeup(entry);
         } else if (entry.ask && now >= askDueAt(*entry.ask)) {
             onAskOverdue(entry);
         } else if (entry.machine.stage() == relay_stage::Waiting) {
@@ -444,8 +451,8 @@
         text += " first_ms=" + millisText(*entry.firstEventAt - entry.arrivedAt) + " gap_ms=" + millisText(entry.longestGap);
     }
     text += streamText(entry.attempt);
-    if (entry.attempt) {
-        text += " version=" + entry.attempt->version.value;
+    if (entry.version) {
+        text += " version=" + entry.version->value;
     }
     if (!entry.request.resumes.empty()) {
         text += " resumes=" + entry.request.resumes;
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -50,6 +50,11 @@
     return !context.excluded.contains(entry.info.name) && entry.takesPlacement(context.now);
 }
 
+bool mayServe(const endpoint_entry &entry, const placement_context &context)
+{
+    return eligible(entry, context) && (!context.version || entry.info.version == *context.version);
+}
+
 double plainCost(const endpoint_entry &entry, std::int32_t running, const placement_context &context)
 {
     double cost = static_cast<double>(running + 1) / std::max(entry.info.slots, 1);
@@ -142,7 +147,7 @@
     for (auto *entry : decodes) {
         const auto load = loadOf(*entry, context);
         const bool fits = load.kvTokens == 0 || load.kvTokens + expectedMemory(tokens, context.speeds) <= memory;
-        if (!eligible(*entry, context) || load.running >= entry->info.slots || !fits) {
+        if (!mayServe(*entry, context) || load.running >= entry->info.slots || !fits) {
             continue;
         }
         const double baseDelayMs = modelPenalty(*entry, context) + runningDelayMs * load.running;
@@ -176,7 +181,7 @@
     double bestCost = std::numeric_limits<double>::infinity();
     for (auto *entry : candidates) {
         const auto running = static_cast<std::int32_t>(entry->open.size()) + context.fleet.loadAt(entry->info.name).running;
-        if (!eligible(*entry, context) || running >= entry->info.slots * plainQueueFactor) {
+        if (!mayServe(*entry, context) || running >= entry->info.slots * plainQueueFactor) {
             continue;
         }
         const double cost = plainCost(*entry, running, context);
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -22,6 +22,7 @@
 #include "retry_budget.hpp"
 #include "role_planner.hpp"
 #include "route_table.hpp"
+#include "stream_versions.hpp"
 
 namespace plantainpoint {
 
@@ -44,6 +45,7 @@
     fleet_view fleet;
     fleet_limiter limiter;
     request_quarantine quarantine;
+    stream_versions versions;
     role_planner planner;
     placer placement;
     relay_metrics metrics;
@@ -115,7 +117,12 @@
     std::optional<std::uint64_t> lastEventId; // Last event that the caller has.
     bool headSent = false;
     std::string mediaType; // Of the head that the caller has.
+    std::optional<software_version> version; // Version that began the stream, which no other one may go on with.
+    std::string heldBytes; // Events that wait for the record of the stream.
+    std::optional<time_point> heldUntil; // Set while events are held.
 
+    // Returns whether the request takes up a stream that broke off.
+    bool takesUpStream() const { return isStream() && route->resumable && (!request.resumes.empty() || request.resumeAfter); }
     bool isStream() const { return route->policy == repeat_policy::Stream; }
     // Returns whether the request may run once more after an attempt whose outcome is unknown.
     bool canRepeat() const { return route->policy == repeat_policy::Idempotent || (isStream() && route->resumable); }
@@ -142,11 +149,19 @@
     void on(const placement_ask &ask);
     void on(const placement_grant &grant);
     void on(const endpoint_checked &checked);
+    void on(const stream_records_read &read);
+    void on(const stream_records_appended &appended);
+    void on(const default_versions_set &message);
+    void on(const stream_records_lost &message);
     // Looks for lost answers that an announcement of an endpoint explains.
     void onAnnounced(const relay_endpoint &endpoint);
 
     // Ends the requests that are quarantined and that no endpoint has begun to answer.
     void refuseQuarantined();
+    // Ends the streams that wait for an endpoint of a version that has none left.
+    void refuseGoneVersions();
+    // Stores the records of streams that have begun, and reads what this VM has to know of versions.
+    void exchangeVersions(time_point now);
     // Places waiting requests after a change of the endpoints or of their load.
     void placeWaiting();
     // Acts on deadlines and on attempts that are overdue.
@@ -193,6 +208,12 @@
     time_point stalledAt(const relay_entry &entry) const;
     void removeFromQueue(const relay_entry &entry);
 
+    // Versions of streams.
+    bool bindVersion(relay_entry &entry);
+    void lookUpVersion(relay_entry &entry);
+    void onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin);
+    void releaseHeld(relay_entry &entry);
+
     // Attempts.
     void send(relay_entry &entry, endpoint_entry &endpoint, dispatch_kind kind, std::int64_t prefillTokens);
     void sendDecode(relay_entry &entry, endpoint_entry &endpoint);
@@ -262,6 +283,12 @@
     std::set<std::pair<time_point, caller_id>> m_wakeups;
     std::unordered_map<caller_id, time_point> m_wakeupOf;
     attempt_number m_lastAttempt = 0;
+    std::unordered_multimap<std::uint64_t, caller_id> m_held; // Requests whose events wait for the record of their stream.
+    std::vector<caller_id> m_lookups; // Requests that wait for a read of the records to begin.
+    std::vector<caller_id> m_openLookups; // Requests that wait for the open read.
+    bool m_readOpen = false;
+    bool m_readsDefaults = false; // The next read includes the default versions.
+    time_point m_nextDefaultsRead{};
 };
 
 } // namespace plantainpoint
--- /dev/null
+++ b/src/stream_versions.hpp
@@ -0,0 +1,102 @@
+// The software version that began each stream. Versions of one service may serve side by side, and a stream may go on only at the one that began it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "endpoint_directory.hpp"
+#include "plantainpoint/clock.hpp"
+#include "plantainpoint/relay.hpp"
+#include "route_table.hpp"
+
+namespace plantainpoint {
+
+// Identifies a stream by the id of the request that brought its first event.
+std::uint64_t streamKeyOf(std::string_view requestId);
+
+// Every service has a default version in the directory: a stream without a record began at it. Any other stream is recorded in the directory before its
+// first event reaches the caller, so that every VM can tell where it began, also when all VMs have been lost in between. The default changes only when no
+// other version has served for the lifetime of a stream. A VM that does not know the default for certain records every stream.
+class stream_versions
+{
+public:
+    static constexpr duration streamLifetime = std::chrono::seconds{60}; // No caller takes a stream up later than this after its begin.
+
+    explicit stream_versions(time_point startedAt)
+        : m_startedAt(startedAt)
+    {
+    }
+
+    // Takes over the versions of the endpoints. Services whose streams cannot be taken up have none.
+    void onEndpoints(const route_table &routes, const endpoint_directory &endpoints, time_point now);
+
+    // Records the begin of a stream. Returns whether its first event has to wait for the directory.
+    bool begin(std::uint64_t stream, const stream_origin &origin, time_point now);
+    // Returns whether the directory takes records. A stream that begins elsewhere than at the default version must not begin without one.
+    bool canRecord(time_point now) const;
+    // Returns the version at which streams need no record, if this VM knows one.
+    std::optional<software_version> defaultVersion(const service_name &service) const;
+
+    // Returns where a stream began if no read of the directory is needed to tell.
+    std::optional<stream_origin> findKnown(std::uint64_t stream) const;
+    // Returns where a stream began, after a read of the directory that has succeeded or failed, or nothing if that cannot be known.
+    std::optional<stream_origin> find(std::uint64_t stream, const service_name &service, bool readSucceeded, time_point now) const;
+
+    // Returns where a stream without an id began, if all streams of the service that may be taken up began at one version.
+    std::optional<stream_origin> findWithoutId(const service_name &service, bool readSucceeded, time_point now) const;
+
+    // Returns the records to append now, if there are any.
+    std::optional<append_stream_records> takeRecords(time_point now);
+    // Returns the streams whose records are stored.
+    std::vector<std::uint64_t> on(const stream_records_appended &appended, time_point now);
+    void on(const stream_records_read &read, time_point now);
+    // Stores what this VM knows once more, as the directory has lost a part of its history.
+    void onLost(time_point now);
+    // Takes over what another VM knows of the default versions.
+    void onDefaults(const default_versions &defaults, time_point now);
+    // Returns what other VMs are told, or nothing without a successful read.
+    std::optional<default_versions> defaults(time_point now) const;
+
+    // Returns whether the default versions have to be read to be certain.
+    bool isUncertain() const;
+    // Returns the defaults that have to be set, by the VM that leads the fleet.
+    std::optional<set_default_versions> missingDefaults(time_point now);
+    void tick(time_point now);
+
+private:
+    struct known_service {
+        std::map<software_version, time_point> seenAt; // Versions, with the time at which they were last listed.
+        std::map<software_version, int> listed; // Number of endpoints.
+        time_point changedAt{}; // Time of the last change of the listed versions.
+    };
+    struct known_stream {
+        stream_origin origin;
+        time_point at{};
+        bool isOwn = false; // This VM has recorded it.
+    };
+
+    // Returns whether the known default cannot have changed meanwhile.
+    bool isCertain(const service_name &service, const known_service &known) const;
+    // Returns the only version that has served within the lifetime of a stream, as far as this VM has seen.
+    static std::optional<software_version> onlyVersion(const known_service &known, time_point now);
+
+    time_point m_startedAt;
+    std::map<service_name, known_service> m_services;
+    std::map<service_name, software_version> m_defaults;
+    std::map<service_name, software_version> m_lostDefaults; // Defaults that were known before the directory lost them.
+    std::uint64_t m_defaultsEnd = 0; // Position behind the last default that was read.
+    std::optional<time_point> m_defaultsAsOf; // Begin of the newest read of the defaults, here or at another VM.
+    std::unordered_map<std::uint64_t, known_stream> m_streams; // Recorded streams.
+    std::vector<stream_record> m_unsent;
+    std::vector<stream_record> m_sent; // Records of the open append.
+    time_point m_sentAt{};
+    time_point m_retryAt{};
+    time_point m_nextDefaultsAt{};
+    bool m_failing = false;
+};
+
+} // namespace plantainpoint
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "plantainpoint/relay_core.hpp"
+#include "stream_directory.hpp"
 
 namespace plantainpoint::test {
 
@@ -149,8 +150,11 @@
     void collect()
     {
         bool receptionEnds = false;
+        std::vector<relay_input> directoryAnswers;
         for (auto &each : core.take()) {
-            if (auto *const dispatch = std::get_if<relay_dispatch>(&each)) {
+            if (auto answer = streams.answer(each)) {
+                directoryAnswers.push_back(std::move(*answer));
+            } else if (auto *const dispatch = std::get_if<relay_dispatch>(&each)) {
                 dispatches.push_back(*dispatch);
             } else if (auto *const failed = std::get_if<answer_failure>(&each)) {
                 failures.push_back(*failed);
@@ -181,6 +185,12 @@
                 fetchAddresses.push_back(fetch->address);
             }
         }
+        for (auto &answer : directoryAnswers) {
+            core.handle(std::move(answer));
+        }
+        if (!directoryAnswers.empty()) {
+            collect();
+        }
         if (receptionEnds) {
             core.handle(reception_finished{});
             collect();
@@ -188,6 +198,7 @@
     }
 
     manual_clock clock;
+    stream_directory streams;
     bool configured = false;
     relay_core core;
     std::uint64_t position = 0;
--- a/test/relay_stack.hpp
+++ b/test/relay_stack.hpp
@@ -118,6 +118,10 @@
         while (!inbox.empty()) {
             std::visit([&](auto &each) { core.handle(std::move(each)); }, inbox.front());
             for (auto &command : core.take()) {
+                if (auto answer = streams.answer(command)) {
+                    inbox.push_back(std::move(*answer));
+                    continue;
+                }
                 std::visit([&](auto &each) { execute(each); }, command);
             }
             inbox.pop_front();
@@ -141,6 +145,7 @@
     boost::asio::io_context io;
     manual_clock clock;
     shell_metrics metrics;
+    stream_directory streams;
     std::deque<relay_input> inbox;
     std::vector<relay_dispatch> dispatches;
     std::vector<answer_failure> failures;
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -29,6 +29,8 @@
     std::vector<record> log;
     std::vector<std::shared_ptr<const relay_config>> configs;
     std::map<std::vector<request_trait>, quarantined_requests> quarantined;
+    std::vector<stream_record> streams;
+    std::vector<stream_origin> defaults; // In the order in which they were set.
     std::uint64_t reads = 0;
 };
 
@@ -62,6 +64,7 @@
         std::uint64_t bytes = 0; // Sent and received.
         std::vector<relay_dispatch> dispatches;
         std::vector<answer_failure> failures;
+        std::size_t streamsNext = 0; // Next record of a stream to read.
     };
 
     explicit simulated_fleet(settings fleetSettings)
@@ -148,6 +151,25 @@
         collect(index);
         return m_lastCaller;
     }
+    // Hands a request for a stream to a VM: a new one, or one that goes on after an event of the stream that another request began.
+    caller_id submitStream(std::size_t index, const std::string &target, const std::string &resumes, std::optional<std::uint64_t> resumeAfter)
+    {
+        auto payload = std::make_shared<relay_payload>();
+        payload->id = idOf(++m_lastCaller);
+        payload->host = "shop.example";
+        payload->method = "POST";
+        payload->target = target;
+        const auto caller = m_lastCaller;
+        vms[index].core->handle(relay_request{.caller = caller,
+                                              .payload = payload,
+                                              .key = digestOf("k-acme"),
+                                              .timeToDeadline = std::chrono::seconds{14},
+                                              .resumeAfter = resumeAfter,
+                                              .resumes = resumes});
+        collect(index);
+        return caller;
+    }
+    static std::string idOf(caller_id caller) { return "id-" + std::to_string(caller); }
     // Hands a model request to a VM. The endpoints see the parts of its prompt in the payload's body.
     caller_id submitModel(std::size_t index, const std::string &target, const std::vector<std::string> &parts, duration timeToDeadline)
     {
@@ -228,6 +250,9 @@
     std::function<void(std::size_t, const relay_dispatch &)> onDispatch;
     std::function<void(caller_id)> onAnswer;
     std::function<void(const answer_failure &)> onFailure;
+    std::function<void(caller_id, const std::string &)> onStreamBytes;
+    std::function<void(caller_id)> onAbort;
+    std::function<void(std::size_t, attempt_number)> onAttemptAbort;
     std::function<bool(const endpoint_name &)> listens = [](const endpoint_name &) { return true; };
     std::set<std::pair<std::size_t, std::size_t>> cutLinks; // Messages from the first VM to the second one are lost.
 
@@ -302,6 +327,30 @@
             onFailure(command);
         }
     }
+    void on(std::size_t /*index*/, answer_stream_bytes &command)
+    {
+        if (onStreamBytes) {
+            onStreamBytes(command.caller, command.bytes);
+        }
+    }
+    void on(std::size_t /*index*/, answer_stream_end &command)
+    {
+        if (onAnswer) {
+            onAnswer(command.caller);
+        }
+    }
+    void on(std::size_t /*index*/, abort_answer &command)
+    {
+        if (onAbort) {
+            onAbort(command.caller);
+        }
+    }
+    void on(std::size_t index, relay_abort &command)
+    {
+        if (onAttemptAbort) {
+            onAttemptAbort(index, command.attempt);
+        }
+    }
     void on(std::size_t index, send_heartbeat &command)
     {
         transmit(index, command.address, encodeHeartbeat(*command.heartbeatMessage).size(), *command.heartbeatMessage);
@@ -375,6 +424,60 @@
             }
         });
     }
+    // Runs the call when the directory has got it, and delivers its result, unless the directory does not answer.
+    void callDirectory(std::size_t index, std::function<relay_input()> call, relay_input failed)
+    {
+        ++directory.reads;
+        const bool answers = !directoryDown && !vms[index].cutFromDirectory;
+        schedule(milliseconds{answers ? 2 : 600}, [this, index, answers, core = vms[index].core.get(), call = std::move(call), failed = std::move(failed)] {
+            auto result = answers ? call() : failed;
+            schedule(milliseconds{2}, [this, index, core, result = std::move(result)] {
+                if (vms[index].core.get() == core && core != nullptr) {
+                    deliver(index, result);
+                }
+            });
+        });
+    }
+    void on(std::size_t index, read_stream_records &command)
+    {
+        const auto startedAt = m_clock.now();
+        callDirectory(
+            index,
+            [this, index, startedAt, defaults = command.defaults] {
+                stream_records_read read{.succeeded = true, .age = m_clock.now() - startedAt + milliseconds{2}};
+                auto &next = vms[index].streamsNext;
+                read.streams.assign(directory.streams.begin() + static_cast<std::ptrdiff_t>(std::min(next, directory.streams.size())), directory.streams.end());
+                next = directory.streams.size();
+                if (defaults) {
+                    read.defaults = directory.defaults;
+                    read.defaultsEnd = directory.defaults.size();
+                }
+                return read;
+            },
+            stream_records_read{});
+    }
+    void on(std::size_t index, append_stream_records &command)
+    {
+        callDirectory(
+            index,
+            [this, records = command.records] {
+                directory.streams.insert(directory.streams.end(), records.begin(), records.end());
+                return stream_records_appended{true};
+            },
+            stream_records_appended{});
+    }
+    void on(std::size_t index, set_default_versions &command)
+    {
+        callDirectory(
+            index,
+            [this, command] {
+                if (command.end == directory.defaults.size()) {
+                    directory.defaults.insert(directory.defaults.end(), command.origins.begin(), command.origins.end());
+                }
+                return default_versions_set{};
+            },
+            default_versions_set{});
+    }
     template<class Command>
     void on(std::size_t /*index*/, Command & /*command*/)
     {
