Let streams that are taken up come before new requests of their account

Cause: buckets start nearly empty after a loss of all VMs, small new requests keep them there, and a stream, which costs its account all of its tokens again, needs a full share at once. A stream that had begun stood behind every new request that was smaller. Class: an order in which what was begun first comes last.

Change: a stream that is taken up may bring the bucket below zero by a quarter of a second's refill, at the VM and, as the ask tells it, at the hub. New requests wait until that is refilled, so that the sum keeps its bound but for this credit, which is a part of the operator's slack.

--- a/src/fleet_limiter.cpp
+++ b/src/fleet_limiter.cpp
@@ -10,6 +10,7 @@
 constexpr double minFraction = 0.01; // Bounds the time to wait at a VM that hears nearly nobody.
 // Part of a full bucket that a VM has when it starts. It serves small requests until the VM hears others; a large one has to wait.
 constexpr double startFraction = 0.02;
+constexpr double takeUpCredit = 0.25; // Seconds of refill by which streams that are taken up may bring a bucket below zero.
 constexpr auto firstContactTime = std::chrono::milliseconds{250}; // A VM that starts learns of the others within this time.
 
 double toSeconds(duration value)
@@ -60,11 +61,12 @@
     entry.refilledAt = std::max(entry.refilledAt, now);
 }
 
-std::optional<duration> fleet_limiter::take(bucket &entry, double units, time_point now) const
+std::optional<duration> fleet_limiter::take(bucket &entry, double units, request_purpose purpose, time_point now) const
 {
     refill(entry, now);
+    const double credit = purpose == request_purpose::TakesUp ? entry.rate * m_share.fraction() * takeUpCredit : 0;
     // A request larger than the burst is admitted when the bucket is full.
-    const double needed = std::min(units, entry.burst);
+    const double needed = std::min(units, entry.burst) - credit;
     if (entry.level < needed && m_share.heardVms == 0) {
         return firstContactTime;
     }
@@ -76,13 +78,13 @@
     return std::nullopt;
 }
 
-std::optional<duration> fleet_limiter::admit(const account_name &account, double units, time_point now)
+std::optional<duration> fleet_limiter::admit(const account_name &account, double units, request_purpose purpose, time_point now)
 {
     const auto it = m_buckets.find(account);
     if (it == m_buckets.end() || it->second.rate <= 0) {
         return std::nullopt;
     }
-    const auto wait = take(it->second, units, now);
+    const auto wait = take(it->second, units, purpose, now);
     if (!wait) {
         it->second.admitted += units;
     }
@@ -99,10 +101,10 @@
     it->second.admitted -= units;
 }
 
-std::optional<duration> fleet_limiter::reserve(const account_name &account, double units, time_point now)
+std::optional<duration> fleet_limiter::reserve(const account_name &account, double units, request_purpose purpose, time_point now)
 {
     const auto it = m_buckets.find(account);
-    return it == m_buckets.end() || it->second.rate <= 0 ? std::nullopt : take(it->second, units, now);
+    return it == m_buckets.end() || it->second.rate <= 0 ? std::nullopt : take(it->second, units, purpose, now);
 }
 
 double fleet_limiter::level(const account_name &account) const
--- a/src/fleet_limiter.hpp
+++ b/src/fleet_limiter.hpp
@@ -3,7 +3,10 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -21,11 +24,26 @@
     bool operator==(const limit_share &) const = default;
 };
 
+// What a request does for its caller.
+enum class request_purpose : std::uint8_t {
+    New,
+    TakesUp, // Goes on with a stream of which the caller has a part.
+};
+
+constexpr std::string_view nameOf(request_purpose value)
+{
+    constexpr std::array names{std::string_view{"new"}, std::string_view{"takes_up"}};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 // Keeps a token bucket with the limit of each account and debits what the other VMs have admitted. Two hubs may admit the same units while a
 // summary is in transit. The level then becomes negative, and nothing is admitted until the excess has been refilled.
 //
 // A VM that does not hear all others grants its share only: the rate is reduced to it, and so is the level when the share falls. A VM that has
 // just started begins with nearly empty buckets, as all VMs may have been lost after an account had used its limit.
+//
+// Streams that are taken up may bring a bucket below zero by a part of a second's refill, so that they come before new requests of their account when it is
+// empty. New requests wait until the bucket has been refilled.
 class fleet_limiter
 {
 public:
@@ -40,11 +58,11 @@
     const limit_share &share() const { return m_share; }
 
     // Returns nothing if the request is admitted, otherwise the time after which it can be admitted.
-    std::optional<duration> admit(const account_name &account, double units, time_point now);
+    std::optional<duration> admit(const account_name &account, double units, request_purpose purpose, time_point now);
     // Returns the units of an admitted request that has not run and never will.
     void refund(const account_name &account, double units);
     // Debits a request that another VM admits. Returns nothing if the limit allows it, otherwise the time after which it does.
-    std::optional<duration> reserve(const account_name &account, double units, time_point now);
+    std::optional<duration> reserve(const account_name &account, double units, request_purpose purpose, time_point now);
 
     // Returns the units that this VM would still admit, as of the last request or report. It is 0 for an unknown account.
     double level(const account_name &account) const;
@@ -71,7 +89,7 @@
     };
     void refill(bucket &entry, time_point now) const;
     // Debits the units if the level allows it, and returns the time to wait otherwise.
-    std::optional<duration> take(bucket &entry, double units, time_point now) const;
+    std::optional<duration> take(bucket &entry, double units, request_purpose purpose, time_point now) const;
     void setLevels(const std::vector<account_usage> &levels, time_point now);
 
     std::unordered_map<account_name, bucket> m_buckets;
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -109,7 +109,7 @@
     } else {
         entry.units = entry.request.tokens ? static_cast<double>(entry.request.tokens->total()) : entry.account->plainCost;
     }
-    const auto wait = m_components.limiter.admit(entry.account->name, entry.units, m_components.clock.now());
+    const auto wait = m_components.limiter.admit(entry.account->name, entry.units, entry.purpose(), m_components.clock.now());
     if (!wait) {
         return true;
     }
@@ -129,7 +129,7 @@
     const auto now = m_components.clock.now();
     m_components.limiter.refund(entry.account->name, entry.units);
     m_components.setLimitShare({.heardVms = 1, .memberVms = m_components.fleet.members(now)});
-    const auto wait = m_components.limiter.admit(entry.account->name, entry.units, now);
+    const auto wait = m_components.limiter.admit(entry.account->name, entry.units, entry.purpose(), now);
     if (!wait) {
         return true;
     }
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -170,7 +170,8 @@
     request.engine = service->engine;
     ++m_components.metrics.asksAnswered;
     if (!ask.account.empty()) {
-        if (const auto wait = m_components.limiter.reserve(ask.account, ask.units, now)) {
+        const auto purpose = ask.begun ? request_purpose::TakesUp : request_purpose::New;
+        if (const auto wait = m_components.limiter.reserve(ask.account, ask.units, purpose, now)) {
             answerAsk(request.owner, {.result = placement_result::LimitReached, .expectedWait = *wait});
             return;
         }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -123,6 +123,7 @@
 
     // Returns whether the request takes up a stream that broke off.
     bool takesUpStream() const { return isStream() && route->resumable && (!request.resumes.empty() || request.resumeAfter); }
+    request_purpose purpose() const { return takesUpStream() ? request_purpose::TakesUp : request_purpose::New; }
     bool isStream() const { return route->policy == repeat_policy::Stream; }
     // Returns whether the request may run once more after an attempt whose outcome is unknown.
     bool canRepeat() const { return route->policy == repeat_policy::Idempotent || (isStream() && route->resumable); }
--- a/test/fleet_limiter_test.cpp
+++ b/test/fleet_limiter_test.cpp
@@ -33,7 +33,7 @@
     int admitUntilRefused(fleet_limiter &limiter, double units)
     {
         int count = 0;
-        while (!limiter.admit({"acme"}, units, now)) {
+        while (!limiter.admit({"acme"}, units, request_purpose::New, now)) {
             ++count;
         }
         return count;
@@ -98,7 +98,7 @@
     fleet_limiter restarted;
     fill(restarted);
     now += milliseconds{1000};
-    restarted.admit({"acme"}, 10, now);
+    restarted.admit({"acme"}, 10, request_purpose::New, now);
     limiterB.debit(trackerOfA.onReport({{"vm-a"}, 2}, restarted.usage(), false), now);
     BOOST_TEST(admitUntilRefused(limiterB, 10) == 9);
 }
@@ -116,11 +116,11 @@
 {
     limiterA.refund({"acme"}, 50);
     BOOST_TEST(admitUntilRefused(limiterA, 10) == 10);
-    const auto wait = limiterA.admit({"acme"}, 50, now);
+    const auto wait = limiterA.admit({"acme"}, 50, request_purpose::New, now);
     BOOST_REQUIRE(wait.has_value());
     BOOST_TEST((*wait >= milliseconds{499} && *wait <= milliseconds{501}));
     limiterA.refund({"acme"}, 50);
-    BOOST_TEST(!limiterA.admit({"acme"}, 50, now).has_value());
+    BOOST_TEST(!limiterA.admit({"acme"}, 50, request_purpose::New, now).has_value());
 }
 
 // Guards against a full bucket that keeps its level after the limit was lowered.
@@ -160,7 +160,7 @@
     started.setAccounts({accountWith(100, 100)}, now);
     now += milliseconds{1000};
     BOOST_TEST(admitUntilRefused(started, 10) == 0);
-    const auto wait = started.admit({"acme"}, 10, now);
+    const auto wait = started.admit({"acme"}, 10, request_purpose::New, now);
     BOOST_TEST((wait && *wait <= milliseconds{500})); // It is not known how many VMs share the limit, but it will be soon.
     started.setShare({.heardVms = 1, .memberVms = 4}, now);
     now += milliseconds{1000};
@@ -181,16 +181,16 @@
 BOOST_AUTO_TEST_CASE(addedAccountsHaveTheirBurstAtOnce)
 {
     limiterA.setAccounts({accountWith(100, 100), {.name = {"new"}, .rate = 100, .burst = 50}}, now);
-    BOOST_TEST(!limiterA.admit({"new"}, 50, now).has_value());
+    BOOST_TEST(!limiterA.admit({"new"}, 50, request_purpose::New, now).has_value());
 }
 
 // Guards against units that a hub debits for another VM and that are debited again when the VM reports them.
 BOOST_AUTO_TEST_CASE(reservedUnitsAreNotReportedAsOwn)
 {
-    BOOST_TEST(!limiterA.reserve({"acme"}, 60, now).has_value());
+    BOOST_TEST(!limiterA.reserve({"acme"}, 60, request_purpose::New, now).has_value());
     BOOST_TEST(limiterA.usage()[0].admitted == 0);
     BOOST_TEST(admitUntilRefused(limiterA, 10) == 4);
-    const auto wait = limiterA.reserve({"acme"}, 10, now);
+    const auto wait = limiterA.reserve({"acme"}, 10, request_purpose::New, now);
     BOOST_REQUIRE(wait.has_value());
     BOOST_TEST((*wait >= milliseconds{99} && *wait <= milliseconds{101}));
 }
@@ -198,11 +198,11 @@
 // Guards against a request larger than the burst that is never admitted.
 BOOST_AUTO_TEST_CASE(largeRequestsAreAdmittedByAFullBucket)
 {
-    BOOST_TEST(!limiterA.admit({"acme"}, 250, now).has_value());
+    BOOST_TEST(!limiterA.admit({"acme"}, 250, request_purpose::New, now).has_value());
     now += milliseconds{1400};
-    BOOST_TEST(limiterA.admit({"acme"}, 10, now).has_value());
+    BOOST_TEST(limiterA.admit({"acme"}, 10, request_purpose::New, now).has_value());
     now += milliseconds{200};
-    BOOST_TEST(!limiterA.admit({"acme"}, 10, now).has_value());
+    BOOST_TEST(!limiterA.admit({"acme"}, 10, request_purpose::New, now).has_value());
 }
 
 // Guards against a VM that starts while an account has used up its limit and grants the burst once more.
@@ -227,13 +227,40 @@
 // Guards against a VM that copies the level of its hub and forgets what it has admitted since its last report.
 BOOST_AUTO_TEST_CASE(copiedLevelsIncludeUnreportedAdmissions)
 {
-    BOOST_TEST(!limiterB.admit({"acme"}, 20, now).has_value());
+    BOOST_TEST(!limiterB.admit({"acme"}, 20, request_purpose::New, now).has_value());
     const auto reported = limiterB.usage();
-    BOOST_TEST(!limiterB.admit({"acme"}, 30, now).has_value());
+    BOOST_TEST(!limiterB.admit({"acme"}, 30, request_purpose::New, now).has_value());
     limiterB.copyLevels({{.account = {"acme"}, .level = 70}}, reported, now);
     BOOST_TEST(admitUntilRefused(limiterB, 10) == 4);
     limiterB.copyLevels({}, limiterB.usage(), now);
     BOOST_TEST(admitUntilRefused(limiterB, 10) == 10);
 }
 
+// Guards against streams that are taken up after all VMs were lost standing behind the new requests of their account.
+BOOST_AUTO_TEST_CASE(streamsThatAreTakenUpComeBeforeNewRequests)
+{
+    while (!limiterA.admit({"acme"}, 1, request_purpose::New, now)) { }
+    BOOST_TEST(limiterA.admit({"acme"}, 20, request_purpose::New, now).has_value());
+    BOOST_TEST(!limiterA.admit({"acme"}, 20, request_purpose::TakesUp, now).has_value());
+    // The credit is a quarter of a second of the rate.
+    const auto wait = limiterA.reserve({"acme"}, 20, request_purpose::TakesUp, now);
+    BOOST_REQUIRE(wait.has_value());
+    BOOST_TEST((*wait > milliseconds{100} && *wait < milliseconds{200}));
+    // What was taken on credit is refilled before a new request is admitted.
+    now += milliseconds{190};
+    BOOST_TEST(limiterA.admit({"acme"}, 1, request_purpose::New, now).has_value());
+    now += milliseconds{60};
+    BOOST_TEST(!limiterA.admit({"acme"}, 1, request_purpose::New, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(takenUpStreamsKeepTheSumWithinTheRate)
+{
+    int admitted = 0;
+    for (int i = 0; i < 1000; ++i, now += milliseconds{10}) {
+        admitted += limiterA.admit({"acme"}, 10, request_purpose::TakesUp, now) ? 0 : 10;
+    }
+    BOOST_TEST(admitted <= 100 + 25 + 100 * 10);
+    BOOST_TEST(admitted >= 100 * 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
