Drop the events of an attempt that a stream is not bound to

What callers would have seen: a stream without its first event, if the endpoint that brought it had started again with another version since the dispatch.

Change: the position of the stream goes back to what the caller has.

Tests: unit/stream_version_bindings, two cases.

--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -448,6 +448,7 @@
     if (events > 0) {
         keepAttempt(*entry, part.attempt);
         if (!bindVersion(*entry)) {
+            entry->lastEventId = entry->request.resumeAfter; // The caller does not get the events.
             breakOff(*entry, part.attempt);
             return;
         }
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -165,6 +165,7 @@
 {
     const auto now = components.clock.now();
     nextVersionsUpdate = now + versionsUpdateInterval;
+    components.versions.tick(now);
     if (components.routes) {
         components.versions.onEndpoints(*components.routes, components.endpoints, now);
         requests.refuseGoneVersions();
@@ -483,7 +484,6 @@
     m_state->requests.tick(now);
     m_state->requests.placeWaiting();
     m_state->components.endpoints.tick(now);
-    m_state->components.versions.tick(now);
     if (now >= m_state->nextVersionsUpdate) {
         m_state->updateVersions();
     }
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -65,6 +65,7 @@
     bool isUncertain() const;
     // Returns the defaults that have to be set, by the VM that leads the fleet.
     std::optional<set_default_versions> missingDefaults(time_point now);
+    // Forgets streams that nobody takes up any more.
     void tick(time_point now);
 
 private:
--- a/test/stream_versions_test.cpp
+++ b/test/stream_versions_test.cpp
@@ -194,3 +194,56 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(stream_version_bindings, relay_fixture)
+
+// Guards against a stream being bound to the version of an endpoint's run before, and against events that the caller never got counting as delivered.
+BOOST_AUTO_TEST_CASE(aStreamIsNotBoundWhileTheRunOfItsEndpointIsInDoubt)
+{
+    configure(sampleRelayConfig());
+    auto first = endpointNamed("dec-1", "llm", endpoint_role::Decode);
+    first.version = v1;
+    announce({first});
+    submit("/resume/1", "k-acme", seconds{2}, token_count{100, 20, {}});
+    BOOST_REQUIRE(dispatches.size() == 1U);
+    auto second = endpointNamed("dec-2", "llm", endpoint_role::Decode);
+    second.version = v1;
+    first.version = v2;
+    first.startedAt = 2;
+    announce({first, second});
+    beginStream(dispatches[0]);
+    streamPart(dispatches[0], "id: 1\ndata: a\n\n");
+    BOOST_TEST(streamedBytes.empty());
+    BOOST_REQUIRE(dispatches.size() == 2U);
+    BOOST_TEST(dispatches[1].endpoint.value == "dec-2");
+    BOOST_TEST(!dispatches[1].resumeAfter.has_value());
+    beginStream(dispatches[1]);
+    streamPart(dispatches[1], "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    BOOST_TEST(streamedBytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+// Guards against a stream that goes on at another version when the endpoints of its own are full or gone.
+BOOST_AUTO_TEST_CASE(aBoundStreamWaitsForItsVersionAndEndsWithIt)
+{
+    configure(sampleRelayConfig());
+    auto first = endpointNamed("dec-1", "llm", endpoint_role::Decode);
+    first.version = v1;
+    auto other = endpointNamed("dec-2", "llm", endpoint_role::Decode);
+    other.version = v2;
+    announce({first});
+    submit("/resume/1", "k-acme", seconds{2}, token_count{100, 20, {}});
+    BOOST_REQUIRE(dispatches.size() == 1U);
+    announce({first, other});
+    beginStream(dispatches[0]);
+    streamPart(dispatches[0], "id: 1\ndata: a\n\n");
+    endAttempt(dispatches[0], reply_outcome::Broken);
+    advance(milliseconds{100});
+    BOOST_TEST(dispatches.size() == 1U);
+    BOOST_TEST(abortedAnswers == 0);
+    withdraw("dec-1");
+    advance(milliseconds{10});
+    BOOST_TEST(dispatches.size() == 1U);
+    BOOST_TEST(abortedAnswers == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
