Give streams that are taken up half a second of credit

Cause: a stream counts about 12,000 tokens there, 0.4 s of its account's rate. With less than that, it waits for a part of a bucket that new requests empty.

--- a/src/fleet_limiter.cpp
+++ b/src/fleet_limiter.cpp
@@ -10,7 +10,7 @@
 constexpr double minFraction = 0.01; // Bounds the time to wait at a VM that hears nearly nobody.
 // Part of a full bucket that a VM has when it starts. It serves small requests until the VM hears others; a large one has to wait.
 constexpr double startFraction = 0.02;
-constexpr double takeUpCredit = 0.25; // Seconds of refill by which streams that are taken up may bring a bucket below zero.
+constexpr double takeUpCredit = 0.5; // Seconds of refill by which streams that are taken up may bring a bucket below zero.
 constexpr auto firstContactTime = std::chrono::milliseconds{250}; // A VM that starts learns of the others within this time.
 
 double toSeconds(duration value)
