--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -140,7 +140,8 @@
         }
         components.logMessage(severity::Info,
                               log_component::Monitor,
-                              "endpoint=" + name.value + " service=" + entry->info.service.value + " address=" + entry->info.address + " state="
+                              "endpoint=" + name.value + " service=" + entry->info.service.value + " address=" + entry->info.address
+                                  + " version=" + entry->info.version.value + " state="
                                   + (withdrawn                                            ? "withdrawn"
                                      : entry->info.condition == endpoint_condition::Ready ? "ready"
                                                                                           : "leaving")
