Log which endpoints say that they leave, and what a VM had open there

Callers' requests reached back ends that had said that they leave; the logs could not tell how.

Now the line of a change of an endpoint ends with open=N last_sent_ms=T, and "endpoint=E says that it leaves" and "wants no requests for_ms=T" are logged when an answer says so.

Runs of endpoints that leave are kept in a table of their own (leaving_runs). Placement does not ask it yet: no behaviour changes.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -72,6 +72,9 @@
 // What an endpoint says of itself in the head of an answer.
 struct endpoint_statement {
     std::optional<double> requestLimit; // Requests per second that it takes from all VMs together. Empty: it names no limit.
+    bool limitKnown = true; // False: the answer says nothing of a limit that can be read.
+    bool leaving = false; // It ends soon and wants no further requests from any VM.
+    std::optional<duration> pause; // It wants no requests from this VM for this time.
 };
 
 // Complete answer that is not a stream of events.
@@ -228,6 +231,14 @@
     std::optional<duration> unnamedAge; // Time since the dispatch of the newest request whose answer named none. Empty while the limit is in force.
 };
 
+// A run of an endpoint that has said that it leaves.
+struct leaving_endpoint {
+    endpoint_name name;
+    std::int64_t startedAt = 0; // Start of the run, as the endpoint announced it.
+
+    bool operator==(const leaving_endpoint &) const = default;
+};
+
 // The end of an endpoint while it was answering requests.
 struct endpoint_crash {
     endpoint_name endpoint;
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -222,6 +222,7 @@
 void endpoint_directory::tick(time_point now)
 {
     std::erase_if(m_entries, [&](const auto &item) { return item.second.withdrawnAt && now >= *item.second.withdrawnAt && item.second.open.empty(); });
+    m_leavingRuns.tick(now);
     for (auto &[name, entry] : m_entries) {
         if (entry.misdirectedSince && !m_reachable) {
             // Entries of ended endpoints stay while the directory does not answer.
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "leaving_runs.hpp"
 #include "plantainpoint/clock.hpp"
 #include "plantainpoint/relay.hpp"
 #include "request_limit.hpp"
@@ -57,6 +58,7 @@
     relay_endpoint info;
     endpoint_statistics endpointStatistics;
     std::unordered_map<attempt_number, open_work> open;
+    std::optional<time_point> lastSentAt; // Time of this VM's last dispatch to it.
     endpoint_outcomes unreported; // Outcomes that no heartbeat has reported yet.
     std::optional<time_point> withdrawnAt; // The endpoint is used until this time.
     time_point fullUntil{}; // The endpoint refused work because it was full.
@@ -148,12 +150,17 @@
     bool onlyLimited(const service_name &service, time_point now) const;
     std::size_t limitedEndpoints() const;
 
+    // Records that a run of an endpoint leaves. Returns whether this is new.
+    bool onLeaving(const leaving_endpoint &endpoint, time_point now) { return m_leavingRuns.add(endpoint, now); }
+    std::size_t leavingEndpoints() const { return m_leavingRuns.size(); }
+
 private:
     bool applyAnnouncement(const relay_endpoint &info);
     bool withdraw(endpoint_entry &entry, time_point now) const;
     void updatePace(endpoint_entry &entry, time_point now) const;
 
     std::map<endpoint_name, endpoint_entry> m_entries;
+    leaving_runs m_leavingRuns;
     std::uint64_t m_position = 0;
     time_point m_reachableSince{};
     bool m_reachable = true;
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -63,6 +63,7 @@
                                                                      kind == dispatch_kind::Prefill ? m_components.speeds.prefillTokensPerMs
                                                                                                     : m_components.speeds.decodePrefillTokensPerMs);
     ++m_workVersion;
+    endpoint.lastSentAt = now;
     endpoint.open.emplace(number, open_work{now, prefillTokens, tokens ? expectedMemory(*tokens, m_components.speeds) : 0, false});
     if (kind == dispatch_kind::Prefill) {
         ++m_components.metrics.prefills;
@@ -235,13 +236,24 @@
 // Records what the endpoint says of itself in the head of an answer.
 void relay_requests::recordStatement(const relay_attempt &attempt, const std::optional<endpoint_statement> &statement)
 {
-    if (!statement || !m_components.endpoints.onStatement(attempt.endpoint, *statement, attempt.sentAt, m_components.clock.now())) {
+    if (!statement) {
         return;
     }
-    const auto limit = m_components.endpoints.find(attempt.endpoint)->limit.perSecond();
-    m_components.logMessage(severity::Info,
-                            log_component::Monitor,
-                            "endpoint=" + attempt.endpoint.value + (limit ? " limit_per_s=" + std::to_string(*limit) : " names no limit any more"));
+    const auto now = m_components.clock.now();
+    auto &endpoints = m_components.endpoints;
+    const auto log = [&](const std::string &text) {
+        m_components.logMessage(severity::Info, log_component::Monitor, "endpoint=" + attempt.endpoint.value + text);
+    };
+    if (endpoints.onStatement(attempt.endpoint, *statement, attempt.sentAt, now)) {
+        const auto limit = endpoints.find(attempt.endpoint)->limit.perSecond();
+        log(limit ? " limit_per_s=" + std::to_string(*limit) : " names no limit any more");
+    }
+    if (statement->leaving && endpoints.onLeaving({attempt.endpoint, attempt.endpointStartedAt}, now)) {
+        log(" says that it leaves started_at=" + std::to_string(attempt.endpointStartedAt));
+    }
+    if (statement->pause) {
+        log(" wants no requests for_ms=" + millisText(*statement->pause));
+    }
 }
 
 void relay_requests::recordAttemptOutcome(const relay_entry &entry, bool succeeded)
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -33,6 +33,13 @@
     return age ? nlohmann::json(std::chrono::duration_cast<std::chrono::milliseconds>(*age).count()) : nlohmann::json();
 }
 
+// Returns this VM's open attempts at the endpoint and the time since it last sent one there.
+std::string workText(const endpoint_entry &entry, time_point now)
+{
+    const auto age = entry.lastSentAt ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - *entry.lastSentAt).count()) : "-";
+    return " open=" + std::to_string(entry.open.size()) + " last_sent_ms=" + age;
+}
+
 } // namespace
 
 struct relay_core::state {
@@ -145,7 +152,7 @@
                                   + (withdrawn                                            ? "withdrawn"
                                      : entry->info.condition == endpoint_condition::Ready ? "ready"
                                                                                           : "leaving")
-                                  + " directory=" + std::to_string(read.position));
+                                  + " directory=" + std::to_string(read.position) + workText(*entry, components.clock.now()));
     }
 }
 
--- a/src/request_limit.cpp
+++ b/src/request_limit.cpp
@@ -25,6 +25,9 @@
 
 bool request_limit::onAnswer(const endpoint_statement &statement, time_point sentAt, time_point now)
 {
+    if (!statement.limitKnown) {
+        return false;
+    }
     const auto before = perSecond();
     if (!statement.requestLimit) {
         m_unnamedAt = std::max(m_unnamedAt.value_or(sentAt), sentAt);
