--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -254,6 +254,7 @@
     std::function<void(caller_id)> onAbort;
     std::function<void(std::size_t, attempt_number)> onAttemptAbort;
     std::function<bool(const endpoint_name &)> listens = [](const endpoint_name &) { return true; };
+    duration configurationReadTime{}; // Time by which a read of the configuration takes longer than one of the endpoints.
     std::set<std::pair<std::size_t, std::size_t>> cutLinks; // Messages from the first VM to the second one are lost.
 
 private:
@@ -585,7 +586,20 @@
         reportState(index);
     }
 
+    // Reports the state when the slower of the two reads, of the configuration, has ended.
     void reportState(std::size_t index)
+    {
+        if (configurationReadTime == duration{}) {
+            reportStateNow(index);
+        } else {
+            schedule(configurationReadTime, [this, index, core = vms[index].core.get()] {
+                if (vms[index].core.get() == core && core != nullptr) {
+                    reportStateNow(index);
+                }
+            });
+        }
+    }
+    void reportStateNow(std::size_t index)
     {
         auto &each = vms[index];
         directory_state state{
