Keep the pauses that endpoints ask for

Change: the pause belongs to one run and to this VM, and is kept when the directory drops the entry and lists it again. A hub is told which endpoints the asking VM avoids, and its own pauses do not keep it from placing the requests of others: what a worker answers one VM binds that VM. When all endpoints of a service pause, requests are refused at once, with the end of the first pause and a jitter as Retry-After; streams that have begun wait.

--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -70,7 +70,7 @@
     return !misdirectedSince && info.condition == endpoint_condition::Ready && (!withdrawnAt || now < *withdrawnAt);
 }
 
-bool endpoint_entry::acceptsWork(time_point now) const
+bool endpoint_entry::acceptsWorkOfOthers(time_point now) const
 {
     return usable(now) && fullUntil <= now && downUntil <= now && roleChangeUntil <= now;
 }
@@ -148,6 +148,8 @@
     }
     entry.info = info;
     entry.leaving = m_leavingRuns.contains(info.name, info.startedAt);
+    const auto pause = m_pauses.find(info.name);
+    entry.pausedUntil = pause != m_pauses.end() && pause->second.startedAt == info.startedAt ? pause->second.until : time_point{};
     entry.withdrawnAt.reset();
     return changed;
 }
@@ -224,6 +226,7 @@
 {
     std::erase_if(m_entries, [&](const auto &item) { return item.second.withdrawnAt && now >= *item.second.withdrawnAt && item.second.open.empty(); });
     m_leavingRuns.tick(now);
+    std::erase_if(m_pauses, [&](const auto &item) { return item.second.until <= now; });
     for (auto &[name, entry] : m_entries) {
         if (entry.misdirectedSince && !m_reachable) {
             // Entries of ended endpoints stay while the directory does not answer.
@@ -380,6 +383,36 @@
     return true;
 }
 
+bool endpoint_directory::onPause(const endpoint_name &name, std::int64_t startedAt, duration time, time_point now)
+{
+    auto &pause = m_pauses[name];
+    if (startedAt < pause.startedAt) {
+        return false;
+    }
+    const bool isNew = startedAt != pause.startedAt || pause.until <= now;
+    pause = {startedAt, std::max(isNew ? time_point{} : pause.until, now + time)};
+    auto *const entry = find(name);
+    if (entry != nullptr && entry->info.startedAt == startedAt) {
+        entry->pausedUntil = pause.until;
+    }
+    return isNew;
+}
+
+std::optional<time_point> endpoint_directory::pausedUntil(const service_name &service, time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.info.service != service || entry.info.role == endpoint_role::Prefill || !entry.usable(now)) {
+            continue;
+        }
+        if (entry.pausedUntil <= now) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(entry.pausedUntil), entry.pausedUntil);
+    }
+    return earliest;
+}
+
 std::vector<leaving_endpoint> endpoint_directory::leavingReports(bool refresh, time_point now) const
 {
     auto reports = m_leavingRuns.all();
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -70,19 +70,21 @@
     duration misdirectedTime{}; // Length of the last exclusion after such a refusal, which doubles with each one.
     request_limit limit; // What the endpoint says that it takes.
     request_pace pace; // This VM's part of it.
+    time_point pausedUntil{}; // This run wants no requests from this VM until then.
     bool leaving = false; // This run has said that it leaves, whatever the directory lists.
 
     // Returns whether the directory lists the endpoint as one that takes requests.
     bool isListed(time_point now) const;
     bool usable(time_point now) const { return !leaving && isListed(now); }
-    // Returns whether the endpoint accepts work now, as far as this VM knows.
-    bool acceptsWork(time_point now) const;
+    // Returns whether the endpoint accepts work now, as far as this VM knows: of this VM, or of another one, which knows its own pauses.
+    bool acceptsWork(time_point now) const { return pausedUntil <= now && acceptsWorkOfOthers(now); }
+    bool acceptsWorkOfOthers(time_point now) const;
     void onUnreachable(time_point now);
     // Excludes an endpoint that refused a request as not meant for it, until the directory shows that the endpoint is alive at its address. The number of
     // announcements is that at the dispatch of the request.
     void onMisdirected(std::uint64_t knownAnnouncements, time_point now);
     // Returns whether this VM may place a request here: the endpoint accepts work, and this VM's part of its limit is not used up.
-    bool takesPlacement(time_point now) const { return acceptsWork(now) && pace.allows(now); }
+    bool takesPlacement(bool isOwn, time_point now) const { return (isOwn ? acceptsWork(now) : acceptsWorkOfOthers(now)) && pace.allows(now); }
     // Returns the requests a second that this VM may place here while each holds its place for the time.
     double throughput(duration holdTime) const;
     // Returns the longest wait of an open attempt that has no answer yet.
@@ -155,6 +157,10 @@
 
     // Records that a run of an endpoint leaves, as it or another VM has said. Returns whether this is new.
     bool onLeaving(const leaving_endpoint &endpoint, time_point now);
+    // Records that a run of an endpoint wants no requests from this VM for the time. Returns whether it takes requests until now.
+    bool onPause(const endpoint_name &name, std::int64_t startedAt, duration time, time_point now);
+    // Returns the earliest end of a pause if every endpoint of the service that can serve wants one.
+    std::optional<time_point> pausedUntil(const service_name &service, time_point now) const;
     // Returns what other VMs are told of leaving endpoints: what is new, or all that the directory lists as ready when it is to be refreshed.
     std::vector<leaving_endpoint> leavingReports(bool refresh, time_point now) const;
     std::size_t leavingEndpoints() const { return m_leavingRuns.size(); }
@@ -164,8 +170,15 @@
     bool withdraw(endpoint_entry &entry, time_point now) const;
     void updatePace(endpoint_entry &entry, time_point now) const;
 
+    // An entry that the directory drops and lists again, as an older copy of it may do, is bound by the pause.
+    struct endpoint_pause {
+        std::int64_t startedAt = 0;
+        time_point until{};
+    };
+
     std::map<endpoint_name, endpoint_entry> m_entries;
     leaving_runs m_leavingRuns;
+    std::map<endpoint_name, endpoint_pause> m_pauses;
     std::uint64_t m_position = 0;
     time_point m_reachableSince{};
     bool m_reachable = true;
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -32,7 +32,8 @@
 
 std::optional<model_placement> placer::choose(const placement_request &request, time_point now) const
 {
-    const placement_context context{m_fleet, m_dataCentre, m_speeds, now, request.excluded, request.maxEventGap, request.version, request.seed};
+    const placement_context context{
+        m_fleet, m_dataCentre, m_speeds, now, request.excluded, request.maxEventGap, request.version, request.owner.isLocal(), request.seed};
     if (!request.engine || !request.tokens) {
         auto *const endpoint = choosePlain(plainCandidates(request.service, now), context);
         return endpoint == nullptr ? std::nullopt : std::optional(model_placement{nullptr, endpoint, {}});
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -285,6 +285,7 @@
                                         request.excluded,
                                         request.maxEventGap,
                                         request.version,
+                                        true,
                                         request.seed};
         const auto decodes = m_components.endpoints.candidates(entry.service, endpoint_role::Decode, now);
         if (auto *const decode = chooseDecode(decodes, *request.engine, *request.tokens, context)) {
@@ -321,10 +322,26 @@
     send(entry, *placement.prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
 }
 
+// Refuses a request at once if all endpoints want no requests, and tells its caller when one takes them again. A stream that has begun waits.
+bool relay_requests::refusePaused(relay_entry &entry)
+{
+    const auto now = m_components.clock.now();
+    const auto until = m_components.endpoints.pausedUntil(entry.service, now);
+    if (!until || entry.headSent) {
+        return false;
+    }
+    failRequest(entry,
+                failure::Overloaded,
+                outcome::NotRun,
+                "all endpoints of " + entry.service.value + " want a pause of " + millisText(*until - now) + " ms",
+                addJitter(std::max(*until - now, shortestOverloadRetry), entry.request.payload->id));
+    return true;
+}
+
 // Places a new request, or lets it wait in the order of the hub.
 void relay_requests::placeOrWait(relay_entry &entry)
 {
-    if (askHub(entry)) {
+    if (refusePaused(entry) || askHub(entry)) {
         return;
     }
     if (!admitAlone(entry)) {
@@ -362,6 +379,9 @@
         failRequest(entry, failure::StreamVersionGone, outcome::NotRun, "no endpoint has version " + entry.version->value);
         return;
     }
+    if (refusePaused(entry)) {
+        return;
+    }
     entry.queuedAt = now;
     // Only the hub uses limits of endpoints. Other streams that have broken off wait here.
     if ((!entry.headSent || m_components.endpoints.hasLimits(entry.service, now)) && askHub(entry)) {
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -262,7 +262,8 @@
     if (statement->leaving && endpoints.onLeaving({attempt.endpoint, attempt.endpointStartedAt}, now)) {
         log(" says that it leaves started_at=" + std::to_string(attempt.endpointStartedAt));
     }
-    if (statement->pause) {
+    if (statement->pause && endpoints.onPause(attempt.endpoint, attempt.endpointStartedAt, *statement->pause, now)) {
+        ++m_components.metrics.pauses;
         log(" wants no requests for_ms=" + millisText(*statement->pause));
     }
 }
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -23,6 +23,7 @@
             {"asks_answered", asksAnswered},
             {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
+            {"endpoint_pauses", pauses},
             {"beats_sent", heartbeatsSent},
             {"beats_received", heartbeatsReceived},
             {"plain_answer_seconds", plainAnswer.toJson()},
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -47,7 +47,7 @@
 
 bool eligible(const endpoint_entry &entry, const placement_context &context)
 {
-    return !context.excluded.contains(entry.info.name) && entry.takesPlacement(context.now);
+    return !context.excluded.contains(entry.info.name) && entry.takesPlacement(context.isOwn, context.now);
 }
 
 bool mayServe(const endpoint_entry &entry, const placement_context &context)
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -33,6 +33,7 @@
     // Longest pause between two events that streams of the service may have. Zero sets no bound.
     duration maxEventGap{};
     const std::optional<software_version> &version; // Version that the serving endpoint has to have. Any endpoint may read the prompt.
+    bool isOwn = true; // The request is one of this VM, and not of another one that asks for a place.
     // Differs for each request. Endpoints that are about equally good are taken in an order that it decides, as the VMs that place at the same
     // moment do not know of each other's choice.
     std::uint64_t spreadSeed = 0;
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -199,6 +199,7 @@
     void apply(relay_entry &entry, const model_placement &placement);
     void placeOrWait(relay_entry &entry);
     void enqueueOrRefuse(relay_entry &entry);
+    bool refusePaused(relay_entry &entry);
     void refuseOverloaded(relay_entry &entry, duration expected, std::string_view detail);
     bool askHub(relay_entry &entry);
     void onAskOverdue(relay_entry &entry);
