Take failed reads of one VM for no outage of the directory

Callers' requests reached an endpoint 3,014 ms after the store had acknowledged that it had left, bound 3,000 ms.

Cause: front-hu-central-c-2 alone got no answer from the store for six seconds. Its next read that succeeded counted as the end of an outage of the directory, and c-2 told all VMs that entries which had lapsed in it may be written again for two seconds. A removal in those two seconds, ordinary as the store had served everybody else all the while, was held back: 58 VMs had logged state=withdrawn at 24.5 s and used the endpoint until 26.5 s. The class: an observation of one VM (my reads fail) taken for a fact of the fleet (the directory is down), and told to the others.

Change: an outage is a gap in the proofs of what the directory holds, whoever has read it: none for two seconds (the time after which entries can lapse). Without a gap of its own a VM neither begins such a time nor takes it over from others.

--- a/src/directory_follower.cpp
+++ b/src/directory_follower.cpp
@@ -76,7 +76,7 @@
         return;
     }
     if (succeeded) {
-        m_provedAt = std::max(m_provedAt.value_or(*m_readStartedAt), *m_readStartedAt);
+        prove(*m_readStartedAt, now);
     }
     m_failures = succeeded ? 0 : m_failures + 1;
     m_failedReadStartedAt = succeeded ? m_failedReadStartedAt : *m_readStartedAt;
@@ -84,9 +84,27 @@
     m_readStartedAt.reset();
 }
 
-bool directory_follower::onProof(time_point provedAt)
+void directory_follower::prove(time_point provedAt, time_point now)
 {
+    if (!m_provedAt || provedAt - *m_provedAt > outageTime) {
+        m_gapEndedAt = now;
+    }
     m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
+}
+
+bool directory_follower::isUnproved(time_point now) const
+{
+    return !m_provedAt || now - *m_provedAt > outageTime;
+}
+
+bool directory_follower::hasGap(time_point now) const
+{
+    return isUnproved(now) || (m_gapEndedAt && now - *m_gapEndedAt < outageTime);
+}
+
+bool directory_follower::onProof(time_point provedAt, time_point now)
+{
+    prove(provedAt, now);
     if (provedAt <= m_failedReadStartedAt) {
         return false;
     }
@@ -96,8 +114,7 @@
 
 bool directory_follower::reachable(time_point now) const
 {
-    const bool silentForLong = !m_provedAt || now - *m_provedAt > outageTime;
-    return m_failures == 0 || (m_failures < outageThreshold && !silentForLong);
+    return m_failures == 0 || (m_failures < outageThreshold && !isUnproved(now));
 }
 
 std::optional<duration> directory_follower::proofAge(time_point now) const
--- a/src/directory_follower.hpp
+++ b/src/directory_follower.hpp
@@ -32,16 +32,21 @@
     void onReadFinished(bool succeeded, time_point now);
     // Records that this VM knows all that was in the directory at this time, as another VM has proved. Returns whether the directory has
     // answered that VM after it last failed to answer this one.
-    bool onProof(time_point provedAt);
+    bool onProof(time_point provedAt, time_point now);
     // Makes the next read due at once.
     void expedite() { m_expedited = true; }
 
     // Returns the age of the newest proof, or nothing if there is none.
     std::optional<duration> proofAge(time_point now) const;
+    // Returns whether there is no proof for so long that entries of live endpoints may have lapsed meanwhile, or was none until lately. A VM whose own reads
+    // fail gets the proofs of others: the directory was then in no outage.
+    bool hasGap(time_point now) const;
     // Returns whether the directory answers this VM or another one that proves what it has read.
     bool reachable(time_point now) const;
 
 private:
+    void prove(time_point provedAt, time_point now);
+    bool isUnproved(time_point now) const;
     duration maxProofAge(directory_role role) const;
     duration pause(directory_role role) const;
 
@@ -49,6 +54,7 @@
     duration m_bound;
     duration m_jitter;
     std::optional<time_point> m_provedAt;
+    std::optional<time_point> m_gapEndedAt; // Arrival of the first proof after a gap.
     std::optional<time_point> m_readStartedAt; // Set while a read is open.
     std::optional<time_point> m_lastReadAt;
     std::optional<time_point> m_startedAt; // Time of the first decision.
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -194,9 +194,9 @@
     return changedNames;
 }
 
-void endpoint_directory::onReachable(bool reachable, time_point now)
+void endpoint_directory::onReachable(bool reachable, bool afterOutage, time_point now)
 {
-    if (reachable && !m_reachable) {
+    if (reachable && !m_reachable && afterOutage) {
         m_reachableSince = now;
         m_hadOutage = true;
     }
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -103,7 +103,8 @@
 
     // Applies changes read from the directory and returns the names whose changes are worth a log line.
     std::vector<endpoint_name> onRead(const directory_read &read, time_point now);
-    void onReachable(bool reachable, time_point now);
+    // Records whether the directory answers. After an outage, endpoints whose entries have lapsed are expected back.
+    void onReachable(bool reachable, bool afterOutage, time_point now);
     // Records that the directory has lost a part of its history. Endpoints whose entries are lost write them again.
     void onRestored(time_point now);
     // Records that another VM has read the directory after it did not answer here.
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -127,7 +127,7 @@
 {
     // Entries that lapsed in an outage arrive with the first read after it.
     if (!read.imported && !components.endpoints.reachable()) {
-        components.endpoints.onReachable(true, components.clock.now());
+        components.endpoints.onReachable(true, follower.hasGap(components.clock.now()), components.clock.now());
     }
     if (read.restored) {
         components.endpoints.onRestored(components.clock.now());
@@ -162,7 +162,7 @@
     const bool before = components.endpoints.reachable();
     follower.onReadFinished(finished.succeeded, now);
     const bool reachable = finished.succeeded || follower.reachable(now);
-    components.endpoints.onReachable(reachable, now);
+    components.endpoints.onReachable(reachable, follower.hasGap(now), now);
     if (reachable != before) {
         components.logMessage(severity::Warning, log_component::Log, reachable ? "the directory answers again" : "the directory does not answer");
     }
@@ -232,7 +232,6 @@
         components.versions.onDefaults(*summary.defaults, components.clock.now());
     }
     components.endpoints.onRoleChange(summary.changingRole, components.clock.now());
-    components.endpoints.onReannouncing(summary.knowledge.reannounceLeft, components.clock.now());
     onSummaryOfDirectory(summary);
     onKnowledge(summary.knowledge, summary.address);
 }
@@ -264,13 +263,15 @@
 {
     auto &endpoints = components.endpoints;
     const auto now = components.clock.now();
-    endpoints.onReannouncing(knowledge.reannounceLeft, now);
+    if (follower.hasGap(now)) {
+        endpoints.onReannouncing(knowledge.reannounceLeft, now);
+    }
     const bool configBehind = knowledge.configVersion > directoryState.configVersion;
     const bool endpointsBehind = knowledge.lastChange > endpoints.position();
     if (!configBehind && !endpointsBehind) {
         if (knowledge.proofAge && endpoints.known()) {
             endpoints.onUnchanged(knowledge.position);
-            if (follower.onProof(now - *knowledge.proofAge)) {
+            if (follower.onProof(now - *knowledge.proofAge, now)) {
                 endpoints.onReadElsewhere();
             }
         }
