Tell no position of the directory ahead of the changes up to it

Cause: a VM applies what it has read of the endpoints at once, but told others of it only when the read of the configuration had ended too, which takes long for 1,808 routes. In between it told its new position together with the old place of the last change. A VM that compared the two found nothing missing, took the position over and so jumped the removal, for good: front-reykjanes-a-15 writes directory=76 from 23.316 s on and never logs the change at 75. The class: two parts of one statement that are taken from states of different age.

Change: the position that others are told is not ahead of what the reader of the directory has told of changes, whatever the order of its messages.

--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -190,6 +190,7 @@
         }
     }
     m_position = std::max(m_position, read.position);
+    m_changedPosition = std::max(m_changedPosition, read.position);
     m_known = true;
     return changedNames;
 }
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -117,6 +117,8 @@
     void tick(time_point now);
 
     std::uint64_t position() const { return m_position; }
+    // Returns the position after the newest change that was read.
+    std::uint64_t changedPosition() const { return m_changedPosition; }
     // Records that no endpoint has changed up to the position.
     void onUnchanged(std::uint64_t position) { m_position = std::max(m_position, position); }
     bool known() const { return m_known; }
@@ -181,6 +183,7 @@
     leaving_runs m_leavingRuns;
     std::map<endpoint_name, endpoint_pause> m_pauses;
     std::uint64_t m_position = 0;
+    std::uint64_t m_changedPosition = 0;
     time_point m_reachableSince{};
     bool m_reachable = true;
     bool m_known = false;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -82,6 +82,7 @@
     void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
     void onSummaryOfDirectory(const fleet_summary &summary);
     own_report report(time_point now);
+    std::uint64_t reportedPosition() const;
     void reportChangedWork(time_point now);
     void exchangeFleetMessages(time_point now);
     void readDirectory(time_point now);
@@ -306,6 +307,14 @@
     components.logMessage(severity::Info, log_component::Core, "shutdown requested open=" + std::to_string(requests.open()));
 }
 
+// Returns the position that others are told. It must not be behind a change of which the directory's reader has not told yet: they would take it over
+// without the change.
+std::uint64_t relay_core::state::reportedPosition() const
+{
+    const auto &endpoints = components.endpoints;
+    return endpoints.changedPosition() > directoryState.position ? directoryState.position : endpoints.position();
+}
+
 own_report relay_core::state::report(time_point now)
 {
     // The VMs that follow a hub know what it knows of endpoints. Hubs tell it again to VMs that have started.
@@ -313,7 +322,7 @@
     own_report result{.knowledge = {.configVersion = directoryState.configVersion,
                                     .configSize = directoryState.configSize,
                                     .endpointEntries = directoryState.endpointEntries,
-                                    .position = components.endpoints.position(),
+                                    .position = reportedPosition(),
                                     .lastChange = directoryState.lastChange,
                                     .proofAge = follower.proofAge(now),
                                     .reannounceLeft = components.endpoints.reannounceLeft(now)},
