Refuse take-ups without a record at VMs that may lack a version

Cause: when the records of streams cannot be read, a stream was taken to have begun at the only version that this VM has seen. A VM that is out of step has not seen the new one.

Change: that conclusion needs a read, or a VM that hears all others: then none of them can know a version that it does not. While the store answers nobody and all VMs hear each other, streams are taken up as before. The price: while the store is away and a VM of the fleet is silent, take-ups of streams without a record are refused (stream_version_unknown, with a time to come back).

--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -104,6 +104,8 @@
     const auto now = m_components.clock.now();
     m_readOpen = false;
     m_components.versions.on(read, now);
+    // Versions may have joined that a VM does not know which neither reads the directory nor hears all others.
+    const bool mayLackVersions = !read.succeeded && m_components.fleet.heard(now) < m_components.fleet.members(now);
     for (const auto caller : std::exchange(m_openLookups, {})) {
         const auto found = m_entries.find(caller);
         if (found == m_entries.end()) {
@@ -111,9 +113,13 @@
         }
         auto &entry = *found->second;
         const auto &resumes = entry.request.resumes;
-        onVersionFound(entry,
-                       resumes.empty() ? m_components.versions.findWithoutId(entry.service, read.succeeded, now)
-                                       : m_components.versions.find(streamKeyOf(resumes), entry.service, read.succeeded, now));
+        if (resumes.empty()) {
+            onVersionFound(entry, m_components.versions.findWithoutId(entry.service, read.succeeded, now));
+        } else if (mayLackVersions) {
+            onVersionFound(entry, m_components.versions.findKnown(streamKeyOf(resumes)));
+        } else {
+            onVersionFound(entry, m_components.versions.find(streamKeyOf(resumes), entry.service, read.succeeded, now));
+        }
     }
 }
 
--- a/test/joined_stream_versions_test.cpp
+++ b/test/joined_stream_versions_test.cpp
@@ -42,7 +42,7 @@
         config.accounts.front().rate = 1e7;
         config.accounts.front().burst = 1e7;
         fleet.publish(config);
-        for (int i = 1; i <= 4; ++i) {
+        for (int i = 1; i <= endpointsAtStart; ++i) {
             announce(i, i <= 2 ? firstVersion : "v1.1", 1);
         }
         fleet.startAll();
@@ -115,11 +115,17 @@
         if (++each.tries > maxTries) {
             return;
         }
-        each.vm = randomRunning();
+        // Every second caller that takes a stream up comes to the VM that is out of step.
+        each.vm = returnsTo && each.lastEvent > 0 && fleet.randomBelow(2) == 0 ? *returnsTo : randomRunning();
         if (each.lastEvent > 0) {
             each.taken = true;
             each.serving = std::any_of(versions.begin(), versions.end(), [&](const auto &item) { return each.versionsSeen.contains(item.second); });
         }
+        if (fleet.vms[each.vm].frozen) {
+            --each.tries;
+            fleet.schedule(milliseconds{100}, [this, number] { send(number); }); // The request waits until the VM goes on.
+            return;
+        }
         // The VM may answer at once.
         current[fleet.lastCaller() + 1] = number;
         fleet.submitStream(each.vm, "/resume/1", each.firstId, each.lastEvent > 0 ? std::optional(each.lastEvent) : std::nullopt);
@@ -209,12 +215,14 @@
 
     simulated_fleet fleet;
     std::string firstVersion = "v1";
+    int endpointsAtStart = 4;
     std::map<endpoint_name, std::string> versions;
     std::set<std::pair<const relay_core *, attempt_number>> open;
     std::vector<stream> streams;
     std::map<caller_id, std::size_t> current;
     std::map<failure, int> failures;
     int breakPermille = 0;
+    std::optional<std::size_t> returnsTo;
 };
 
 } // namespace
@@ -301,6 +309,47 @@
     play.check();
 }
 
+// Guards against a VM that is out of step for some seconds while endpoints of a new version join: streams that began on them through other VMs are taken up
+// at it and go on at the only version that it knows.
+void playOutOfStep(bool frozen, int vmsPerDataCentre, int dataCentres)
+{
+    version_play play(vmsPerDataCentre, dataCentres);
+    play.endpointsAtStart = 2;
+    play.breakPermille = 300;
+    play.start();
+    play.load(seconds{2}, 40);
+    const std::size_t outOfStep = 3;
+    for (std::size_t i = 0; i < play.fleet.vms.size() && !frozen; ++i) {
+        play.fleet.cutLinks.insert({i, outOfStep});
+        play.fleet.cutLinks.insert({outOfStep, i});
+    }
+    play.fleet.vms[outOfStep].frozen = frozen;
+    play.fleet.vms[outOfStep].cutFromDirectory = !frozen;
+    for (int i = 3; i <= 6; ++i) {
+        play.announce(i, "v1.1", 1);
+    }
+    play.returnsTo = outOfStep;
+    play.load(seconds{5}, 40);
+    play.fleet.cutLinks.clear();
+    play.fleet.vms[outOfStep].frozen = false;
+    play.fleet.vms[outOfStep].cutFromDirectory = false;
+    play.load(seconds{2}, 40);
+    play.fleet.runFor(seconds{8});
+    BOOST_TEST(play.joined() <= joinedAllowed, play.joined() << " of " << play.streams.size() << " streams hold events of two versions");
+}
+
+BOOST_AUTO_TEST_CASE(aVmIsCutOffWhileAVersionJoins)
+{
+    playOutOfStep(false, 7, 1);
+    playOutOfStep(false, 20, 3);
+}
+
+BOOST_AUTO_TEST_CASE(aVmStandsStillWhileAVersionJoins)
+{
+    playOutOfStep(true, 7, 1);
+    playOutOfStep(true, 20, 3);
+}
+
 BOOST_AUTO_TEST_CASE(theDirectoryIsDownWhileVmsStart)
 {
     version_play play(7, 1);
