--- a/test/shell_support.hpp
+++ b/test/shell_support.hpp
@@ -86,6 +86,13 @@
         return m_wasReset;
     }
     void close() { m_socket.close(); }
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+    // Forgets what has been received.
+    void clear() { m_received.clear(); }
 
 private:
     tcp::socket m_socket;
