--- a/shell/endpoint_proxy.cpp
+++ b/shell/endpoint_proxy.cpp
@@ -34,7 +34,7 @@
 
 // Two connections a tunnel. The callers of this VM come first: they have the larger part of its descriptors, memory and time.
 constexpr std::size_t maxTunnels = 128;
-constexpr std::size_t bufferSize = 16 * 1024; // Bytes in each direction. A side that does not read stops the other one.
+constexpr std::size_t bufferSize = 16 * 1024UL; // Bytes in each direction. A side that does not read stops the other one.
 constexpr auto connectTime = std::chrono::milliseconds{150}; // The VM that asks waits for 500 ms, in which two endpoints may be tried.
 constexpr auto quietTime = std::chrono::seconds{1}; // Longer than the pauses between the events of a stream.
 constexpr auto silentPeerTime = std::chrono::seconds{3}; // A peer that acknowledges nothing for this time is gone.
