--- a/test/endpoint_proxy_test.cpp
+++ b/test/endpoint_proxy_test.cpp
@@ -164,10 +164,10 @@
 // Guards against a proxy whose answer does not end or is none.
 BOOST_AUTO_TEST_CASE(answersOfAProxyThatAreNoneFail)
 {
-    for (const std::string answer : {std::string("HTTP/1.1 200 OK\r\n") + std::string(100'000, 'x'),
-                                     std::string("no http\r\n\r\n"),
-                                     std::string("HTTP/1.1 200 OK\r\n\r\nunasked"),
-                                     std::string("HTTP/1.1 407 No\r\n\r\n")}) {
+    for (const std::string &answer : {std::string("HTTP/1.1 200 OK\r\n") + std::string(100'000, 'x'),
+                                      std::string("no http\r\n\r\n"),
+                                      std::string("HTTP/1.1 200 OK\r\n\r\nunasked"),
+                                      std::string("HTTP/1.1 407 No\r\n\r\n")}) {
         tcp::acceptor fake(io, {boost::asio::ip::address_v4::loopback(), 0});
         std::optional<transfer_end> end;
         http_call call{.request = makeRequest(boost::beast::http::verb::get, "/x"), .timeout = std::chrono::seconds{4}};
