Forget proxies that have not been used for two minutes

A VM kept the state of every VM that it had ever used or probed as a proxy, so that a fleet whose VMs are replaced for months would let the table grow. Entries are dropped two minutes after their last use or failure, which is longer than any time for which they matter.

--- a/src/endpoint_ways.cpp
+++ b/src/endpoint_ways.cpp
@@ -20,6 +20,7 @@
 constexpr duration proxyFailureTime = std::chrono::seconds{2}; // A proxy that failed is not used for this time.
 constexpr duration proxyTrustTime = std::chrono::seconds{5}; // A proxy that worked is preferred for this time.
 constexpr duration searchTime = std::chrono::seconds{1}; // Requests are sent through proxies that are not known to work for this time after a cut.
+constexpr duration proxyMemoryTime = std::chrono::minutes{2}; // Longer than any of the times above.
 constexpr std::size_t wantedProxies = 2; // One more than needed, as a proxy may be lost at any time.
 constexpr std::size_t nearFailures = 2; // After so many failures in this data centre, proxies of others are tried as well.
 constexpr std::size_t maxNamed = 32;
@@ -157,6 +158,10 @@
 
 void endpoint_ways::onProxyFailed(const std::string &proxy, time_point now)
 {
+    // VMs that have been replaced are not heard of again.
+    std::erase_if(m_proxies, [&](const auto &item) {
+        return now - std::max({item.second.failedUntil, item.second.probedAt, item.second.workedAt.value_or(time_point{})}) > proxyMemoryTime;
+    });
     auto &state = m_proxies[proxy];
     state.failedUntil = now + proxyFailureTime;
     state.workedAt.reset();
