--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -307,7 +307,7 @@
     components.logMessage(severity::Info, log_component::Core, "shutdown requested open=" + std::to_string(requests.open()));
 }
 
-// Returns the position that others are told. It must not be behind a change of which the directory's reader has not told yet: they would take it over
+// Returns the position that others are told. It must not lie past a change of which the directory's reader has not told yet: they would take it over
 // without the change.
 std::uint64_t relay_core::state::reportedPosition() const
 {
