Agree on the types and requirements of the parts for hard load

Two customers bring load that the relay cannot serve well yet. The parts are built side by side, so the public types that they share come first: evacuations of data centres, cold endpoints, home regions, and the slots and work time of load reports.

The test program can be built from a few suites only (-DPLANTAINPOINT_TESTS=...), as a whole build takes minutes.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -71,10 +71,13 @@
     return value == reply_outcome::NotSent || value == reply_outcome::ProxyFailed || value == reply_outcome::Withheld;
 }
 
-// Running and waiting requests at an endpoint, as the endpoint reports them.
+// Load of an endpoint at the moment at which it wrote an answer, as the endpoint reports it.
 struct reported_load {
-    std::int32_t running = 0;
-    std::int32_t waiting = 0;
+    std::int32_t running = 0; // Requests.
+    std::int32_t waiting = 0; // Requests.
+    std::optional<std::int32_t> slots; // Requests that run at once.
+    // Time that work takes on the endpoint's machine at this moment, in percent of the usual time.
+    std::optional<std::int32_t> workTimePercent;
 };
 
 // What an endpoint says of itself in the head of an answer.
@@ -83,6 +86,7 @@
     bool limitKnown = true; // False: the answer says nothing of a limit that can be read.
     bool leaving = false; // It ends soon and wants no further requests from any VM.
     std::optional<duration> pause; // It wants no requests from this VM for this time.
+    std::optional<duration> coldLeft; // It stays cold for this time.
 };
 
 // Complete answer that is not a stream of events.
@@ -155,6 +159,19 @@
     bool restored = false; // The directory has lost a part of its history. Entries that it lacks may be written again.
 };
 
+// Whether the operator wants the endpoints of a data centre to get no requests.
+struct evacuation {
+    data_centre_name dataCentre;
+    bool inForce = false;
+    std::uint64_t position = 0; // Position of the directory at which the operator set or ended it.
+    duration age = duration::max(); // Longest time that may have passed since then.
+};
+
+// Evacuations that the directory's reader knows. It replaces what is known of a data centre if its position is higher.
+struct evacuations_read {
+    std::vector<evacuation> evacuations;
+};
+
 // Result of a read_directory command.
 struct directory_read_finished {
     bool succeeded = false; // Both the configuration and the endpoints were read up to their ends.
@@ -177,6 +194,8 @@
     std::int32_t running = 0;
     std::int64_t prefillTokens = 0; // Prompt tokens that have not been read yet.
     std::int64_t kvTokens = 0;
+    // Work time that the endpoint has stated to the VM lately, as in reported_load. Empty if it has stated none.
+    std::optional<std::int32_t> workTimePercent;
 
     bool operator==(const endpoint_load &) const = default;
 };
@@ -320,6 +339,7 @@
     crash_report evidence;
     std::vector<limit_report> limits; // Limits that endpoints name, after each change.
     std::vector<leaving_endpoint> leavingEndpoints; // Those that have lately said that they leave.
+    std::vector<evacuation> evacuations; // All that are known.
 
     fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
 };
@@ -360,6 +380,7 @@
     crash_report evidence;
     std::vector<limit_report> limits; // Limits that endpoints name, after each change and again from time to time.
     std::vector<leaving_endpoint> leavingEndpoints; // Those that have lately said that they leave, and from time to time all.
+    std::vector<evacuation> evacuations; // All that are known.
     std::optional<default_versions> defaults; // Included from time to time.
     // Last heartbeat of the receiver that the totals include, or its last totals if it is a hub of another data centre. The sequence is 0 if
     // there is none.
--- a/include/plantainpoint/relay_config.hpp
+++ b/include/plantainpoint/relay_config.hpp
@@ -46,6 +46,8 @@
     bool open = false; // Requests need no key.
     bool resumable = false; // A stream may continue at another endpoint.
     std::vector<weighted_service> services;
+    // Regions that the requests, their bodies on the way through other VMs and their KV cache may not leave. Empty: any region.
+    std::vector<region_name> homes;
 
     bool operator==(const relay_route &) const = default;
 };
@@ -63,6 +65,8 @@
 struct relay_service {
     service_name name;
     std::optional<engine_profile> engine; // It is empty for a plain service.
+    std::chrono::milliseconds coldTime{0}; // An endpoint is cold for this time after its start.
+    double coldRate = 0; // Requests a second that a cold endpoint tolerates from all VMs together. Zero sets no bound.
 
     bool operator==(const relay_service &) const = default;
 };
@@ -80,6 +84,7 @@
     double plainCost = 1; // Units of a request without a token count.
     double rate = 0; // Units per second. Zero sets no limit.
     double burst = 0; // Units.
+    std::vector<region_name> homes; // As those of a route. Where both have homes, both bind.
 
     bool operator==(const relay_account &) const = default;
 };
@@ -113,6 +118,7 @@
     software_version version; // Empty if the endpoint announces none.
     // Milliseconds since 1970 on the endpoint's clock. The time tells two runs under one name apart.
     std::int64_t startedAt = 0;
+    std::optional<std::chrono::milliseconds> coldLeft; // Time for which it stays cold, from its announcement on. Empty if it announces none.
 
     bool operator==(const relay_endpoint &) const = default;
 };
--- a/include/plantainpoint/relay_core.hpp
+++ b/include/plantainpoint/relay_core.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,11 +18,13 @@
 struct relay_settings {
     incarnation_id self;
     data_centre_name dataCentre;
+    std::map<data_centre_name, region_name> regions; // Region of each data centre. A data centre without an entry is in no region.
     std::string peerAddress; // IP:PORT for heartbeats, summaries and state transfer.
     std::int64_t capacity = 0; // Thousandths of a processor core. VMs with more take the roles of the fleet first.
     duration directoryInterval = std::chrono::milliseconds{400}; // Pause between two reads of the directory by the VM that reads for the fleet.
     // Changes of the directory have to be known to every VM within this time.
     duration directoryBound = std::chrono::seconds{2};
+    duration evacuationBound = std::chrono::seconds{5}; // No request may reach an endpoint so long after the evacuation of its data centre.
     double retryRatio = 0.2; // Retries of the whole fleet per request of a service.
     // Further retries of the whole fleet within the window that the operator watches.
     double retrySlack = 50;
--- a/test/sources.cmake
+++ b/test/sources.cmake
@@ -2,6 +2,11 @@
 find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
 find_package(rapidcheck REQUIRED)
 file(GLOB TEST_SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/*_test.cpp)
+# For work on a few suites, such as -DPLANTAINPOINT_TESTS=placement_test.cpp. The test program then has no others.
+set(PLANTAINPOINT_TESTS "" CACHE STRING "names of the test files to build, or all if it is empty")
+if(PLANTAINPOINT_TESTS)
+    list(TRANSFORM PLANTAINPOINT_TESTS PREPEND ${CMAKE_SOURCE_DIR}/test/ OUTPUT_VARIABLE TEST_SOURCES)
+endif()
 add_executable(plantainpoint-test ${CMAKE_SOURCE_DIR}/test/main.cpp ${TEST_SOURCES})
 target_compile_definitions(plantainpoint-test PRIVATE BOOST_TEST_DYN_LINK)
 target_include_directories(plantainpoint-test PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR}/test)
