Let requests wait for the limit of their account within half of their objective

Cause: a request that finds a few units missing was refused at once, although the bucket is refilled within a part of its objective.

Evidence: unit/limit_waits passes; with a wait of 0, which is the behaviour before, 4 of its checks fail. unit/fleet_limits, fleet_scale and relay_fuzz pass.

--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -27,6 +27,9 @@
 // Fraction of the time to the deadline. A caller that is refused later cannot retry in time.
 constexpr double maxWaitFraction = 0.6;
 
+// Fraction of the objective for which a request may wait for its account's limit. The rest is left for its place and its answer.
+constexpr double limitWaitFraction = 0.5;
+
 constexpr std::string_view quarantineDetail = "requests like this one have crashed endpoints";
 
 // Spreads the returns of refused callers over a further half of the time.
@@ -100,24 +103,69 @@
     return account;
 }
 
-bool relay_requests::admit(relay_entry &entry)
+// Returns the units of its account's limit that a request takes.
+double relay_requests::unitsOf(const relay_entry &entry)
 {
     if (entry.account == nullptr) {
-        return true;
+        return 0;
     }
     if (entry.account->unit == limit_unit::Requests) {
-        entry.units = 1;
+        return 1;
+    }
+    return entry.request.tokens ? static_cast<double>(entry.request.tokens->total()) : entry.account->plainCost;
+}
+
+// Takes the units of a request from its account's limit. Returns the time after which they can be taken if the limit does not allow it now.
+std::optional<duration> relay_requests::admit(relay_entry &entry)
+{
+    if (entry.account == nullptr) {
+        return std::nullopt;
+    }
+    const auto units = unitsOf(entry);
+    const auto wait = m_components.limiter.admit(entry.account->name, units, entry.purpose(), m_components.clock.now());
+    entry.units = wait ? 0 : units;
+    return wait;
+}
+
+// Callers of an account send in bursts, and a bucket that lacks a few units is refilled within a part of their objective: such a request is served in time
+// without a refusal. Requests that would be late because of the limit are refused at once.
+bool relay_requests::mayWaitForLimit(const relay_entry &entry, duration wait) const
+{
+    const auto latest = entry.arrivedAt + std::chrono::duration_cast<duration>(entry.route->objective * limitWaitFraction);
+    return !entry.headSent && !m_components.shuttingDown && m_components.clock.now() + wait <= std::min(latest, entry.deadline);
+}
+
+void relay_requests::waitForLimit(relay_entry &entry, duration wait)
+{
+    entry.limitRetryAt = m_components.clock.now() + wait;
+    ++m_components.metrics.limitWaits;
+    m_components.logMessage(severity::Info,
+                            log_component::Place,
+                            "request=" + entry.request.payload->id + " waits for limit account=" + entry.account->name.value
+                                + " units=" + std::to_string(std::llround(unitsOf(entry)))
+                                + " left=" + std::to_string(std::llround(m_components.limiter.level(entry.account->name))) + " wait_ms=" + millisText(wait));
+    scheduleWakeup(entry);
+}
+
+void relay_requests::onLimitDue(relay_entry &entry)
+{
+    entry.limitRetryAt.reset();
+    if (const auto wait = admit(entry)) {
+        waitForLimitOrRefuse(entry, *wait, "its bucket has not been refilled in time");
     } else {
-        entry.units = entry.request.tokens ? static_cast<double>(entry.request.tokens->total()) : entry.account->plainCost;
+        begin(entry);
     }
-    const auto wait = m_components.limiter.admit(entry.account->name, entry.units, entry.purpose(), m_components.clock.now());
-    if (!wait) {
-        return true;
+}
+
+// Handles a request whose units were given back, or were not taken.
+void relay_requests::waitForLimitOrRefuse(relay_entry &entry, duration wait, std::string_view detail)
+{
+    if (mayWaitForLimit(entry, wait)) {
+        entry.limitChecked = false;
+        waitForLimit(entry, wait);
+    } else {
+        refuseOverLimit(entry, wait, detail);
     }
-    const auto detail = "account " + entry.account->name.value + " is over its limit: " + std::to_string(std::llround(entry.units)) + " units asked, "
-                        + std::to_string(std::llround(m_components.limiter.level(entry.account->name))) + " left here";
-    refuse(entry.request.caller, *entry.request.payload, failure::RateExceeded, addJitter(*wait, entry.request.payload->id), detail);
-    return false;
 }
 
 // Checks the limit of a request that no hub has checked although this VM follows one. Nobody can tell it what the others admit, so it grants its
@@ -135,7 +183,7 @@
         return true;
     }
     entry.units = 0;
-    refuseOverLimit(entry, *wait, "no hub answers, and the share of this VM is used up");
+    waitForLimitOrRefuse(entry, *wait, "no hub answers, and the share of this VM is used up");
     return false;
 }
 
@@ -203,17 +251,35 @@
     std::transform(request.parts.begin(), request.parts.end(), std::back_inserter(entry->partTraits), traitOf);
     entry->partTraits = sortedTraits(std::move(entry->partTraits));
     entry->request = std::move(request);
-    if (refuseQuarantined(*entry) || !admit(*entry)) {
+    if (refuseQuarantined(*entry)) {
+        return;
+    }
+    const auto wait = admit(*entry);
+    if (wait && !mayWaitForLimit(*entry, *wait)) {
+        const auto detail = "account " + entry->account->name.value + " is over its limit: " + std::to_string(std::llround(unitsOf(*entry))) + " units asked, "
+                            + std::to_string(std::llround(m_components.limiter.level(entry->account->name))) + " left here";
+        const auto &payload = *entry->request.payload;
+        refuse(entry->request.caller, payload, failure::RateExceeded, addJitter(*wait, payload.id), detail);
         return;
     }
     auto &stored = *entry;
     const auto caller = stored.request.caller;
     m_entries.emplace(caller, std::move(entry));
     budgetOf(stored.service).earn();
-    if (stored.takesUpStream()) {
-        lookUpVersion(stored);
+    if (wait) {
+        waitForLimit(stored, *wait);
+    } else {
+        begin(stored);
+    }
+}
+
+// Goes on with a request whose units have been taken from its account's limit.
+void relay_requests::begin(relay_entry &entry)
+{
+    if (entry.takesUpStream()) {
+        lookUpVersion(entry);
     } else {
-        placeOrWait(stored);
+        placeOrWait(entry);
     }
 }
 
@@ -515,6 +581,9 @@
     if (entry.ask) {
         wakeupTime = std::min(wakeupTime, askDueAt(*entry.ask));
     }
+    if (entry.limitRetryAt) {
+        wakeupTime = std::min(wakeupTime, *entry.limitRetryAt);
+    }
     if (entry.heldUntil) {
         wakeupTime = std::min(wakeupTime, *entry.heldUntil);
     }
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -2,6 +2,7 @@
 #include "relay_requests.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantainpoint {
 
@@ -107,7 +108,8 @@
     if (grant.result == placement_result::LimitReached) {
         m_asks.erase(found);
         entry.ask.reset();
-        refuseOverLimit(entry, grant.expectedWait, "the hub " + grant.from.vm.value + " has no units left");
+        m_components.limiter.refund(entry.account->name, std::exchange(entry.units, 0));
+        waitForLimitOrRefuse(entry, grant.expectedWait, "the hub " + grant.from.vm.value + " has no units left");
         return;
     }
     entry.limitChecked = true;
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -374,6 +374,8 @@
                                     "request=" + entry.request.payload->id + " begins without a stored record version=" + entry.version->value);
             releaseHeld(entry);
             scheduleWakeup(entry);
+        } else if (entry.limitRetryAt && now >= *entry.limitRetryAt) {
+            onLimitDue(entry);
         } else if (entry.ask && now >= askDueAt(*entry.ask)) {
             onAskOverdue(entry);
         } else if (entry.machine.stage() == relay_stage::Waiting) {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -94,6 +94,7 @@
     request_traits partTraits; // Traits of the parts of its prompt, sorted.
     bool answerRecorded = false; // An endpoint has written on it for a while, and this has been recorded.
     double units = 0; // Units that were taken from the account's limit.
+    std::optional<time_point> limitRetryAt; // Set while the request waits for its account's limit.
     bool limitChecked = false; // By a VM that knows the admissions of the others.
     time_point arrivedAt{};
     time_point deadline{};
@@ -200,8 +201,14 @@
 
     // Admission.
     const relay_account *authorise(const relay_request &request, const relay_route &route);
-    bool admit(relay_entry &entry);
+    static double unitsOf(const relay_entry &entry);
+    std::optional<duration> admit(relay_entry &entry);
     bool admitAlone(relay_entry &entry);
+    void begin(relay_entry &entry);
+    bool mayWaitForLimit(const relay_entry &entry, duration wait) const;
+    void waitForLimit(relay_entry &entry, duration wait);
+    void onLimitDue(relay_entry &entry);
+    void waitForLimitOrRefuse(relay_entry &entry, duration wait, std::string_view detail);
     void refuseOverLimit(relay_entry &entry, duration wait, std::string_view detail);
     bool refuseQuarantined(const relay_entry &entry);
     void refuse(caller_id caller, const relay_payload &payload, failure reason, std::optional<duration> retryAfter, std::string_view detail);
