--- a/test/shell_support.hpp
+++ b/test/shell_support.hpp
@@ -86,6 +86,12 @@
         return m_wasReset;
     }
     void close() { m_socket.close(); }
+    // Ends the sending direction.
+    void endOutput()
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
     void reset()
     {
         m_socket.set_option(boost::asio::socket_base::linger(true, 0));
