End broken answers as broken, and bound the bytes and connections held

What callers saw: a part of an answer as a whole one, statuses such as 007, and requests lost with a VM that the platform ended for its memory.

Cause: the system reports a reset once, to the write or to the read. After a failed write the read saw a regular end. Any three digits were passed on as a status. Nothing bounded the sum of the bodies, buffers and answers that callers made a VM hold, nor their connections.

Change: - client_connection takes the error of the write into account, does not use a connection again whose request was not written to its end, and fails on statuses other than 200 to 599, 100 and 103. The VM logs the status. endpoint_proxy passes a regular end on although the endpoint takes no more of the request. - One memory_budget for each process (half of memory_mb) counts bodies, buffers, collected answers and the buffers of connections passed on for other VMs. Bodies without room are not read, then refused; slow requests and readers make room. Small requests have an eighth for themselves. - Callers may have half of max_descriptors less 200; resting and slow connections make room.

--- a/shell/caller_output.cpp
+++ b/shell/caller_output.cpp
@@ -159,6 +159,7 @@
 
 void caller_session::flushLater()
 {
+    countBuffers();
     if (m_writing || m_flushPosted || m_closed) {
         return;
     }
@@ -220,6 +221,7 @@
     m_writeBuffer.clear();
     if (m_writeBuffer.capacity() > keptBufferSize) {
         m_writeBuffer.shrink_to_fit();
+        countBuffers();
     }
     flush();
 }
@@ -257,6 +259,9 @@
         close(close_reason::SlowReader);
         return;
     }
+    if (m_waitsForMemory) {
+        return;
+    }
     const bool isDue = m_outputEnded ? now - m_phaseStart > drainTime : m_caller == 0 && !hasOutput() && now - m_phaseStart > idle;
     if (!isDue || m_parsePosted || hasPendingInput()) {
         return;
@@ -272,8 +277,10 @@
 void caller_session::refuseRest(failure reason, std::string_view detail, std::optional<duration> retryAfter)
 {
     m_arriving = false;
+    m_waitsForMemory = false;
     m_parser.reset();
     m_input.clear();
+    m_bodyShare.charge(0);
     m_keepAlive = false;
     m_inputRefused = true;
     refuse(reason, detail, retryAfter);
@@ -308,6 +315,11 @@
                                .unreadInput = takesRequests ? m_input.size() + pendingInput() : 0,
                                .unwrittenOutput = m_pendingOutput.size() + m_writeBuffer.size() - (m_writing ? m_writtenSize : 0)};
     closeSocket();
+    // What the system still uses of the buffers is released when the pending operations have ended.
+    m_parser.reset();
+    m_pendingOutput = {};
+    m_bodyShare.charge(0);
+    m_bufferShare.charge(0);
     if (m_countedKey) {
         m_host.uncountConnection(*m_countedKey);
         m_countedKey.reset();
--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "caller_session.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -22,6 +23,15 @@
 constexpr std::size_t requestReadSize = 4 * 1024UL;
 constexpr std::size_t bodyReadSize = 64 * 1024UL; // Used after a smaller read was filled.
 
+// Framing of a chunked body. A chunk of one byte has five bytes of framing; more than this is not the framing of an ordinary caller.
+constexpr std::size_t maxFramingPerByte = 8;
+constexpr std::size_t freeFraming = 64 * 1024UL; // Bytes.
+
+constexpr auto memoryRetry = std::chrono::milliseconds{1000}; // Time after which the slowest uploads have made room.
+// A body that arrives slower makes room for others if too many bytes are held.
+constexpr double slowRate = 64 * 1024.0; // Bytes per second.
+constexpr auto minArrivalTime = std::chrono::seconds{1}; // The rate of a request is known after this time.
+
 constexpr std::size_t maxPipelinedInput = 16 * 1024UL; // Bytes read ahead while a request is open.
 
 // Bytes read and discarded after the last answer. Unread input would make the close reset the connection, which could destroy the answer.
@@ -36,6 +46,8 @@
 
 caller_session::caller_session(session_host &host)
     : m_host(host)
+    , m_bodyShare(host.memory())
+    , m_bufferShare(host.memory())
     , m_phaseStart(steady::now())
     , m_idleTime(host.limits().idleTime)
 {
@@ -61,7 +73,7 @@
 
 void caller_session::readMore()
 {
-    if (m_reading || m_closed) {
+    if (m_reading || m_closed || m_waitsForMemory) {
         return;
     }
     if (m_caller != 0 && m_input.size() >= maxPipelinedInput) {
@@ -70,15 +82,27 @@
     m_reading = true;
     if (m_caller != 0) {
         m_readSize = openRequestReadSize;
-    } else if (m_readSize < requestReadSize) {
+    } else if (m_readSize < requestReadSize || m_host.memory()->isHalfUsed()) {
         m_readSize = requestReadSize;
     }
-    if (!m_arriving && m_received.capacity() > m_readSize) {
+    if ((!m_arriving || m_host.memory()->isHalfUsed()) && m_received.capacity() > m_readSize) {
         m_received.shrink_to_fit();
     } else if (m_received.capacity() == 0 && m_input.size() == 0) {
         m_received = std::move(m_input); // Reuses the memory of the last read.
     }
-    read(m_received.prepare(m_readSize));
+    const auto buffer = m_received.prepare(m_readSize);
+    countBuffers();
+    read(buffer);
+}
+
+// Counts the memory of the buffers, which may be larger than what they hold.
+void caller_session::countBuffers()
+{
+    const auto before = m_bufferShare.size();
+    m_bufferShare.charge(m_received.capacity() + m_input.capacity() + m_pendingOutput.capacity() + m_writeBuffer.capacity());
+    if (m_bufferShare.size() > before) {
+        m_host.onBytesHeld();
+    }
 }
 
 // Appends the bytes of a completed read to those that wait to be parsed.
@@ -115,6 +139,8 @@
         }
     } else {
         m_readSize = size >= m_readSize ? bodyReadSize : requestReadSize;
+        m_lastArrival = steady::now();
+        m_arrivedSize += size;
         takeReceived(size);
         if (m_caller == 0 && !m_parsePosted) {
             parse();
@@ -145,14 +171,29 @@
     if (!m_arriving && m_input.size() > 0) {
         m_arriving = true;
         m_continueHandled = false;
+        m_arrivedSize = m_input.size();
+        m_bodyWireSize = 0;
+        m_lastArrival = steady::now();
         beginPhase();
     }
     boost::beast::error_code error;
     while (m_input.size() > 0 && !m_parser->is_done()) {
-        m_input.consume(putBytes(*m_parser, m_input.data(), error));
+        const bool isBody = m_parser->eager();
+        if (isBody && !m_bodyShare.take(neededMemory())) {
+            waitForMemory();
+            return;
+        }
+        const auto size = putBytes(*m_parser, m_input.data(), error);
+        m_input.consume(size);
+        m_bodyWireSize += isBody ? size : 0;
         if (error) {
             break;
         }
+        if (m_parser->chunked() && m_bodyWireSize > freeFraming + (maxFramingPerByte + 1) * m_parser->get().body().size()) {
+            refuseAndClose(
+                makeStatus(failure::BodyTooLarge, "the framing of the body is larger than " + std::to_string(maxFramingPerByte) + " times the body"));
+            return;
+        }
         // The parser stops behind the head until it is eager.
         if (!m_parser->eager() && m_parser->is_header_done()) {
             m_parser->eager(true);
@@ -160,6 +201,14 @@
                 refuseAndClose(head);
                 return;
             }
+            if (isBodyTooLarge()) {
+                refuseAndClose(makeStatus(failure::BodyTooLarge, "this VM has no memory for a body of this size"));
+                return;
+            }
+            if (!m_bodyShare.take(neededMemory())) {
+                waitForMemory();
+                return;
+            }
         }
     }
     if (error == http::error::need_more && m_input.size() > m_host.limits().headerSize + bodyReadSize) {
@@ -190,6 +239,77 @@
     return checkMethod(head, m_parser->chunked() || m_parser->content_length().value_or(0) > 0);
 }
 
+// Returns the bytes that the body needs until the next ones arrive. A body whose length is known needs all of it from the start, so that it can be held
+// once it has begun to arrive.
+std::size_t caller_session::neededMemory() const
+{
+    if (!m_parser || !m_parser->is_header_done()) {
+        return 0;
+    }
+    if (m_parser->chunked()) {
+        return m_parser->get().body().size() + m_input.size();
+    }
+    return static_cast<std::size_t>(m_parser->content_length().value_or(0));
+}
+
+// Returns whether the body could not be held if there were no others.
+bool caller_session::isBodyTooLarge() const
+{
+    return neededMemory() > m_host.memory()->largeBodyLimit();
+}
+
+// Stops reading. The system's buffers fill, and the caller stops sending.
+void caller_session::waitForMemory()
+{
+    if (m_waitsForMemory) {
+        return;
+    }
+    if (isBodyTooLarge()) {
+        refuseAndClose(makeStatus(failure::BodyTooLarge, "this VM has no memory for a body of this size"));
+        return;
+    }
+    m_waitsForMemory = true;
+    m_waitStart = steady::now();
+    m_host.waitForMemory(*this);
+}
+
+bool caller_session::retryBody()
+{
+    if (!isWaitingForMemory()) {
+        return true;
+    }
+    if (!m_bodyShare.take(neededMemory())) {
+        return false;
+    }
+    m_waitsForMemory = false;
+    m_lastArrival = steady::now(); // Nothing was read meanwhile.
+    parse();
+    readMore();
+    return true;
+}
+
+void caller_session::refuseForMemory(std::string_view detail)
+{
+    if (m_closed || !m_arriving) {
+        return;
+    }
+    refuseRest(failure::Overloaded, detail, memoryRetry);
+}
+
+double caller_session::arrivalRate(steady::time_point now) const
+{
+    const std::chrono::duration<double> time = std::max<steady::duration>(now - m_phaseStart, minArrivalTime);
+    return static_cast<double>(m_arrivedSize) / time.count();
+}
+
+bool caller_session::isSlowSender(steady::time_point now) const
+{
+    if (!m_arriving || m_waitsForMemory || m_closed || now - m_phaseStart < minArrivalTime) {
+        return false;
+    }
+    return (now - m_lastArrival >= minArrivalTime || arrivalRate(now) < slowRate) && !hasPendingInput();
+}
+
 // Parses a pipelined request. The call is posted, so that requests answered at once do not recurse.
 void caller_session::parseLater()
 {
@@ -222,6 +342,7 @@
 {
     m_parser.reset();
     m_input.clear();
+    m_bodyShare.charge(0);
     m_arriving = false;
     m_keepAlive = false;
     refuse(failureOf(reason), std::string_view{reason.message().data(), reason.message().size()});
@@ -244,6 +365,7 @@
     m_keepAlive = message.keep_alive() && !m_host.isClosing();
     m_chunked = message.version() >= 11;
     m_request = std::make_unique<open_request>();
+    m_request->body = std::exchange(m_bodyShare, memory_share(m_host.memory()));
     m_request->receivedAt = steady::now();
     m_request->headOnly = message.method() == http::verb::head;
     caller_request request;
--- a/shell/caller_session.hpp
+++ b/shell/caller_session.hpp
@@ -16,6 +16,7 @@
 
 #include "close_reason.hpp"
 #include "completion_api.hpp"
+#include "memory_budget.hpp"
 #include "plantainpoint/relay.hpp"
 #include "settings.hpp"
 
@@ -54,6 +55,12 @@
     virtual void onAnswered(caller_id caller, int status) = 0;
     virtual void onCallerDisconnected(caller_id caller) = 0;
     virtual void countSlowCaller() = 0;
+    // Returns the budget for the bytes of all connections.
+    virtual const std::shared_ptr<memory_budget> &memory() const = 0;
+    // The session stops reading until retryBody() or refuseForMemory() is called.
+    virtual void waitForMemory(caller_session &session) = 0;
+    // The session holds more bytes that cannot be refused.
+    virtual void onBytesHeld() = 0;
     virtual void countToken() = 0;
     virtual void addFirstTokenTime(duration time) = 0;
     virtual void addPlainAnswerTime(duration time) = 0;
@@ -92,6 +99,27 @@
     // Closes a resting connection, or refuses the request that is being received, unless further bytes have arrived.
     void closeUnlessRead(close_reason reason);
     void close(close_reason reason);
+
+    // Returns whether the body of a request waits for memory.
+    bool isWaitingForMemory() const { return m_waitsForMemory && !m_closed; }
+    std::chrono::steady_clock::time_point waitsSince() const { return m_waitStart; }
+    // Returns how many bytes the waiting body needs beyond those that it has.
+    std::size_t missingMemory() const { return neededMemory() - std::min(neededMemory(), m_bodyShare.size()); }
+    // Goes on with a body that waits for memory. Returns false if there is still none.
+    bool retryBody();
+    // Refuses the request that is being received, as its bytes are needed for others or none are left for it.
+    void refuseForMemory(std::string_view detail);
+    // Returns whether a request is being received slower than an ordinary caller sends, or not at all.
+    bool isSlowSender(std::chrono::steady_clock::time_point now) const;
+    // Bytes per second at which the request arrives that is being received.
+    double arrivalRate(std::chrono::steady_clock::time_point now) const;
+    // Returns whether output waits for a caller that takes none at the moment.
+    bool isStalledReader() { return m_writing && !m_closed && !canWrite(); }
+    std::chrono::steady_clock::time_point lastWriteStart() const { return m_writeStart; }
+    // Start of the rest of a connection without a request.
+    std::chrono::steady_clock::time_point phaseStart() const { return m_phaseStart; }
+    // Bytes that this connection holds.
+    std::size_t heldBytes() const { return m_bufferShare.size() + m_bodyShare.size() + (m_request ? m_request->body.size() : 0); }
     // Returns whether no request is open or partly received and no output is left.
     bool isIdle() const { return m_caller == 0 && !m_arriving && m_input.size() == 0 && !hasOutput(); }
     // Returns whether a request is being received, or bytes of one wait to be read.
@@ -135,6 +163,7 @@
         std::string label; // Empty until the request is admitted.
         std::optional<event_writer> eventWriter; // Set once an event stream has begun.
         std::string collectedText; // Text of an answer that is not streamed.
+        memory_share body; // The core keeps the body until the request has its terminal answer.
         steady::time_point receivedAt;
         bool completion = false;
         bool stream = false;
@@ -149,6 +178,10 @@
     void onReadCancelled();
     void parse();
     absl::Status checkHead() const;
+    std::size_t neededMemory() const;
+    bool isBodyTooLarge() const;
+    void waitForMemory();
+    void countBuffers();
     void parseLater();
     void onParseError(const boost::beast::error_code &error);
     void sendContinueIfExpected();
@@ -180,6 +213,12 @@
     boost::beast::flat_buffer m_input; // Bytes received and not parsed.
     std::unique_ptr<request_parser> m_parser; // Set while a request is being received.
     std::unique_ptr<open_request> m_request;
+    memory_share m_bodyShare; // Counts the body of the request that is being received.
+    memory_share m_bufferShare; // Counts the buffers.
+    std::size_t m_arrivedSize = 0; // Bytes that have arrived since the start of the request that is being received.
+    std::size_t m_bodyWireSize = 0; // Bytes of its body, with their framing, that have been parsed.
+    steady::time_point m_lastArrival;
+    steady::time_point m_waitStart; // Of the wait for memory.
     std::string m_pendingOutput;
     std::string m_writeBuffer; // Bytes of the write in progress.
     close_reason m_cancelReason = close_reason::Idle; // Of a read that is cancelled to close the connection.
@@ -195,6 +234,7 @@
     bool m_ready = false; // The handshake has ended.
     bool m_chunkOpen = false;
     bool m_chunked = false;
+    bool m_waitsForMemory = false;
     bool m_arriving = false; // A request has been received in part.
     bool m_continueHandled = false;
     bool m_keepAlive = true;
--- a/shell/client_connection.cpp
+++ b/shell/client_connection.cpp
@@ -33,6 +33,11 @@
 constexpr std::uint32_t maxHeadSize = 16 * 1024; // Bytes of a status line with its header, and of the trailer.
 // Bytes that may wait for the end of a chunk's size line or of the trailer. A complete read and a head fit.
 constexpr std::size_t maxUnparsedSize = largeReadSize + std::size_t{2} * maxHeadSize;
+// Interim statuses. A protocol is never switched, as no request asks for it, and the others have no meaning here.
+constexpr unsigned statusContinue = 100;
+constexpr unsigned statusEarlyHints = 103;
+constexpr unsigned minStatus = 200; // Of an answer.
+constexpr unsigned maxStatus = 599;
 constexpr int maxSkippedHeads = 16;
 constexpr std::size_t maxSkippedBytes = 1024 * 1024UL;
 constexpr auto maxProxiedAge = std::chrono::seconds{2};
@@ -63,6 +68,8 @@
     m_call.emplace(std::move(call));
     m_receiver = std::move(receiver);
     m_requestMaybeSent = false;
+    m_writeFailed = false;
+    m_wasReset = false;
     m_startedAt = steady_clock::now();
     m_skippedHeads = 0;
     m_skippedBytes = 0;
@@ -86,6 +93,7 @@
     m_parser->body_limit(m_call->maxBody);
     m_parser->skip(m_headOnly);
     m_headSeen = false;
+    m_statusValid = true;
     m_skippingResponse = false;
 }
 
@@ -165,7 +173,10 @@
 {
     m_writing = false;
     if (error) {
-        // The pending read reports the end of the connection. A response that the peer sent before it still counts.
+        // The pending read reports the end of the connection. A response that the peer sent before it still counts. The system reports a reset only once,
+        // to the write or to the read. A broken pipe follows a regular end of the response.
+        m_writeFailed = true;
+        m_wasReset = error != asio::error::broken_pipe;
         m_requestMaybeSent = size > 0;
         return;
     }
@@ -190,10 +201,10 @@
     }
     if (error) {
         boost::beast::error_code eofError;
-        if (error == asio::error::eof && m_headSeen && !m_skippingResponse) {
+        if (error == asio::error::eof && !m_wasReset && m_headSeen && !m_skippingResponse) {
             m_parser->put_eof(eofError);
         }
-        if (m_headSeen && !m_skippingResponse && m_parser->is_done() && !eofError) {
+        if (m_headSeen && !m_skippingResponse && m_parser->is_done() && !m_wasReset && !eofError) {
             complete();
         } else {
             fail(transfer_end::Closed);
@@ -229,6 +240,9 @@
         }
         if (!m_headSeen && m_receiver && m_parser->is_header_done()) {
             onHead();
+            if (!m_statusValid) {
+                return false;
+            }
         }
         if (m_skippingResponse && m_parser->is_done()) {
             resetParser();
@@ -240,11 +254,16 @@
 void client_connection::onHead()
 {
     const auto status = m_parser->get().result_int();
-    if (status / 100 == 1) {
+    if (status == statusContinue || status == statusEarlyHints) {
         ++m_skippedHeads;
         resetParser();
         return;
     }
+    if (status < minStatus || status > maxStatus) {
+        m_statusValid = false;
+        m_receiver->onInvalidStatus(status);
+        return;
+    }
     m_headSeen = true;
     m_parser->eager(true);
     if (m_call->accepts && !m_call->accepts(m_parser->get())) {
@@ -349,7 +368,7 @@
     const auto self = shared_from_this();
     const auto receiver = std::exchange(m_receiver, nullptr);
     const auto pool = m_pool.lock();
-    const bool reusable = pool && !isExpired() && m_parser->keep_alive() && !m_writing && m_buffer.size() == 0 && m_socket.is_open();
+    const bool reusable = pool && !isExpired() && m_parser->keep_alive() && !m_writing && !m_writeFailed && m_buffer.size() == 0 && m_socket.is_open();
     if (reusable) {
         if (m_buffer.capacity() > maxIdleBufferSize) {
             m_buffer.shrink_to_fit();
--- a/shell/client_connection.hpp
+++ b/shell/client_connection.hpp
@@ -115,10 +115,13 @@
     bool m_deadlineExtended = false;
     bool m_reading = false;
     bool m_writing = false;
+    bool m_writeFailed = false; // The request was not written to its end.
+    bool m_wasReset = false; // The write has shown that the connection did not end regularly. A read then reports a regular end.
     bool m_requestMaybeSent = false; // A byte of the request may have reached the peer.
     std::chrono::steady_clock::duration m_idleLimit = std::chrono::steady_clock::duration::max();
     bool m_headOnly = false; // The method is HEAD. The request is released once it is written.
     bool m_headSeen = false;
+    bool m_statusValid = true;
     bool m_skippingResponse = false; // The response belongs to an earlier request.
     int m_skippedHeads = 0; // Interim responses and responses to earlier requests that arrived during the call.
     std::size_t m_skippedBytes = 0; // Body bytes of the latter.
--- a/shell/close_reason.hpp
+++ b/shell/close_reason.hpp
@@ -17,10 +17,12 @@
     LastAnswer, // The caller has not closed for a while after the last answer.
     InputDiscarded, // Too many bytes arrived after the last answer.
     VmStopping,
+    NoMemory, // The bytes that wait for the caller, or that it sends slowly, are needed for others.
+    NoDescriptor, // A resting connection, or one whose request arrives slowly, made room for a new one.
 };
 
-inline constexpr std::array<std::string_view, 8> closeReasonNames{
-    "caller_closed", "handshake_failed", "idle", "slow_reader", "answer_broken", "last_answer", "input_discarded", "vm_stopping"};
+inline constexpr std::array<std::string_view, 10> closeReasonNames{
+    "caller_closed", "handshake_failed", "idle", "slow_reader", "answer_broken", "last_answer", "input_discarded", "vm_stopping", "no_memory", "no_descriptor"};
 
 constexpr std::string_view nameOf(close_reason reason)
 {
--- a/shell/endpoint_proxy.cpp
+++ b/shell/endpoint_proxy.cpp
@@ -78,9 +78,10 @@
 } // namespace
 
 struct endpoint_proxy::tunnel {
-    tunnel(tcp::socket callerSocket, tcp::socket endpointSocket)
+    tunnel(tcp::socket callerSocket, tcp::socket endpointSocket, memory_share bufferShare)
         : caller(std::move(callerSocket))
         , endpoint(std::move(endpointSocket))
+        , buffers(std::move(bufferShare))
     {
     }
 
@@ -93,15 +94,17 @@
 
     tcp::socket caller;
     tcp::socket endpoint;
+    memory_share buffers; // Counts the buffers of both directions.
     steady_clock::time_point lastBytesAt = steady_clock::now();
     bool answered = true; // The last bytes came from the endpoint, or there were none.
     int endedSides = 0;
 };
 
-endpoint_proxy::endpoint_proxy(asio::io_context &io, admission admit, const line_logger &logger)
+endpoint_proxy::endpoint_proxy(asio::io_context &io, admission admit, const line_logger &logger, std::shared_ptr<memory_budget> memory)
     : m_io(io)
     , m_admit(std::move(admit))
     , m_logger(logger)
+    , m_memory(std::move(memory))
 {
 }
 
@@ -172,6 +175,11 @@
         co_await refuse(caller, http::status::service_unavailable, "too many connections", admitted);
         co_return;
     }
+    memory_share buffers(m_memory);
+    if (!buffers.take(2 * bufferSize)) {
+        co_await refuse(caller, http::status::service_unavailable, "no memory", admitted);
+        co_return;
+    }
     tcp::socket endpoint(m_io);
     if (!co_await connect(endpoint, admitted.address)) {
         // An endpoint that cannot be connected to is down only if this VM is not cut off as well.
@@ -189,7 +197,7 @@
     ++m_served;
     prepare(caller);
     prepare(endpoint);
-    auto open = std::make_shared<tunnel>(std::move(caller), std::move(endpoint));
+    auto open = std::make_shared<tunnel>(std::move(caller), std::move(endpoint), std::move(buffers));
     m_tunnels.push_back(open);
     asio::co_spawn(m_io, pass(open, false), asio::detached);
     asio::co_spawn(m_io, pass(open, true), asio::detached);
@@ -200,6 +208,7 @@
     auto &from = fromEndpoint ? open->endpoint : open->caller;
     auto &to = fromEndpoint ? open->caller : open->endpoint;
     std::vector<char> buffer(bufferSize);
+    bool discarding = false;
     boost::system::error_code error;
     for (;;) {
         const auto size = co_await from.async_read_some(asio::buffer(buffer), withError(error));
@@ -208,8 +217,15 @@
         }
         open->lastBytesAt = steady_clock::now();
         open->answered = fromEndpoint;
+        if (discarding) {
+            continue;
+        }
         co_await asio::async_write(to, asio::buffer(buffer.data(), size), withError(error));
-        if (error) {
+        if (error == asio::error::broken_pipe && !fromEndpoint) {
+            // The endpoint has ended its answer and takes no more of the request. The answer still passes. The rest of the request is read, as a close with
+            // unread bytes would destroy the answer on its way.
+            discarding = true;
+        } else if (error) {
             break;
         }
     }
--- a/shell/endpoint_proxy.hpp
+++ b/shell/endpoint_proxy.hpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include "logging.hpp"
+#include "memory_budget.hpp"
 #include "plantainpoint/relay_core.hpp"
 
 namespace plantainpoint {
@@ -27,7 +28,10 @@
     using admission = std::function<proxy_admission(const endpoint_name &, std::int64_t startedAt)>;
 
     // The arguments passed by reference have to outlive the proxy.
-    endpoint_proxy(boost::asio::io_context &io, admission admit, const line_logger &logger);
+    endpoint_proxy(boost::asio::io_context &io,
+                   admission admit,
+                   const line_logger &logger,
+                   std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>());
 
     // Answers a CONNECT request and passes the bytes of both sides on until one of them ends.
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket caller, request_type request);
@@ -50,6 +54,7 @@
     boost::asio::io_context &m_io;
     admission m_admit;
     const line_logger &m_logger;
+    std::shared_ptr<memory_budget> m_memory;
     std::list<std::weak_ptr<tunnel>> m_tunnels;
     std::uint64_t m_served = 0;
     std::uint64_t m_refused = 0;
--- a/shell/http_client.hpp
+++ b/shell/http_client.hpp
@@ -43,6 +43,8 @@
     virtual void onHead(int status, const http_fields &fields) = 0;
     // Receives the next bytes of the body, without chunk framing.
     virtual void onBody(std::string_view data) = 0;
+    // Is called before the end as Malformed if the status is not that of an answer.
+    virtual void onInvalidStatus(unsigned /*status*/) { }
     // Is called last. The flag requestMaybeSent is true if a byte of the request may have reached the peer.
     virtual void onEnd(transfer_end end, bool requestMaybeSent) = 0;
 };
--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -1,11 +1,12 @@
 #include "http_server.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
-#include <vector>
 
 #include <poll.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/write.hpp>
 
@@ -23,6 +24,16 @@
 // Delay after a failed accept, such as one for want of file descriptors.
 constexpr auto acceptRetryDelay = std::chrono::milliseconds{50};
 
+// A body waits for memory for at most so long. A caller that is refused then still has most of its time.
+constexpr auto maxMemoryWait = std::chrono::milliseconds{500};
+constexpr auto longestMemoryWait = 4 * maxMemoryWait; // While older bodies go on.
+constexpr auto memoryRetryInterval = std::chrono::milliseconds{25};
+// A connection at rest for this time may be closed for a new one. A caller that sends request after request rests less.
+constexpr auto minRest = std::chrono::seconds{1};
+constexpr auto reportInterval = std::chrono::seconds{1};
+// Closed at once beyond the bound of connections, so that the caller can try another VM.
+constexpr std::string_view connectionRefusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n";
+
 std::size_t bytesPending(const tcp::socket &socket)
 {
     boost::system::error_code error;
@@ -151,7 +162,9 @@
     , m_acceptor(io)
     , m_sweepTimer(io)
     , m_acceptTimer(io)
+    , m_memoryTimer(io)
 {
+    m_metrics.heldBytesLimit = m_settings.memory->limit();
 }
 
 http_server::~http_server()
@@ -232,6 +245,10 @@
 void http_server::addSession(tcp::socket socket)
 {
     boost::system::error_code ignored;
+    if (m_sessions.size() >= m_settings.limits.connections && !makeRoomForConnection()) {
+        refuseConnection(socket);
+        return;
+    }
     socket.set_option(tcp::no_delay(true), ignored);
     session_host &host = *this;
     std::shared_ptr<caller_session> session;
@@ -245,6 +262,197 @@
     session->start();
 }
 
+std::vector<std::shared_ptr<caller_session>> http_server::sessionList() const
+{
+    std::vector<std::shared_ptr<caller_session>> sessions;
+    sessions.reserve(m_sessions.size());
+    std::transform(m_sessions.begin(), m_sessions.end(), std::back_inserter(sessions), [](const auto &entry) { return entry.second; });
+    return sessions;
+}
+
+// Closes the connection that has rested longest, or else the one whose request arrives slowest. Connections with an open request stay.
+bool http_server::makeRoomForConnection()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::shared_ptr<caller_session> resting;
+    std::shared_ptr<caller_session> slowest;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->isIdle()) {
+            const bool isCandidate = now - session->phaseStart() >= minRest && (!resting || session->phaseStart() < resting->phaseStart());
+            if (isCandidate && !session->hasPendingInput()) {
+                resting = session;
+            }
+        } else if (session->isSlowSender(now) && (!slowest || session->arrivalRate(now) < slowest->arrivalRate(now))) {
+            slowest = session;
+        }
+    }
+    const auto &chosen = resting ? resting : slowest;
+    if (!chosen) {
+        return false;
+    }
+    chosen->close(close_reason::NoDescriptor);
+    return true;
+}
+
+void http_server::refuseConnection(tcp::socket &socket)
+{
+    ++m_metrics.connectionsRefused;
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(connectionRefusal), ignored);
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+    // Unread bytes would make the close reset the connection, which could destroy the answer.
+    std::array<char, 4096> discarded{};
+    socket.read_some(asio::buffer(discarded), ignored);
+    socket.close(ignored);
+}
+
+void http_server::waitForMemory(caller_session &session)
+{
+    ++m_metrics.bodiesPaused;
+    m_waitingForMemory.push_back(session.weak_from_this());
+    scheduleMemoryRetry();
+}
+
+void http_server::scheduleMemoryRetry()
+{
+    if (std::exchange(m_memoryRetryScheduled, true)) {
+        return;
+    }
+    m_memoryTimer.expires_after(memoryRetryInterval);
+    m_memoryTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_memoryRetryScheduled = false;
+        relieveMemory();
+        retryWaitingBodies();
+    });
+}
+
+// The oldest go on first. While there is no room for the oldest, those that have waited long are refused, the newest first.
+void http_server::retryWaitingBodies()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::shared_ptr<caller_session>> waiting;
+    std::size_t missing = 0;
+    for (const auto &each : std::exchange(m_waitingForMemory, {})) {
+        if (auto session = each.lock(); session && session->isWaitingForMemory()) {
+            missing += session->missingMemory();
+            waiting.push_back(std::move(session));
+        }
+    }
+    const auto freeBytes = [&memory = *m_settings.memory] { return memory.largeBodyLimit() - std::min(memory.largeBodyLimit(), memory.held()); };
+    if (const auto room = freeBytes(); missing > room) {
+        refuseSlowSenders(missing - room);
+    }
+    std::erase_if(waiting, [](const auto &session) { return session->retryBody(); });
+    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) { return left->phaseStart() < right->phaseStart(); });
+    std::vector<std::shared_ptr<caller_session>> kept;
+    for (auto it = waiting.rbegin(); it != waiting.rend(); ++it) {
+        const auto waited = now - (*it)->waitsSince();
+        const bool oldestHasRoom = waiting.front()->missingMemory() <= freeBytes();
+        if (waited >= longestMemoryWait || (waited >= maxMemoryWait && !oldestHasRoom)) {
+            ++m_metrics.bodiesRefused;
+            (*it)->refuseForMemory("this VM holds as many bytes of requests as its memory allows");
+        } else {
+            kept.push_back(*it);
+        }
+    }
+    m_waitingForMemory.insert(m_waitingForMemory.begin(), kept.rbegin(), kept.rend());
+    if (!m_waitingForMemory.empty()) {
+        scheduleMemoryRetry();
+    }
+    reportLimits(now);
+}
+
+// Refuses the requests that arrive slowest until so many bytes are free.
+void http_server::refuseSlowSenders(std::size_t bytes)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::pair<double, std::shared_ptr<caller_session>>> slow;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->isSlowSender(now)) {
+            slow.emplace_back(session->arrivalRate(now), session);
+        }
+    }
+    std::sort(slow.begin(), slow.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    for (const auto &[rate, session] : slow) {
+        const auto held = session->heldBytes();
+        ++m_metrics.slowBodiesRefused;
+        session->refuseForMemory("the request arrived slowly, and its memory is needed for others");
+        if (held >= bytes) {
+            return;
+        }
+        bytes -= held;
+    }
+}
+
+void http_server::onBytesHeld()
+{
+    m_metrics.heldBytes = m_settings.memory->held();
+    if (!m_settings.memory->isExceeded() || m_reliefPosted) {
+        return;
+    }
+    m_reliefPosted = true;
+    asio::post(m_io, [this, alive = std::weak_ptr<char>(m_alive)] {
+        if (alive.lock()) {
+            m_reliefPosted = false;
+            relieveMemory();
+        }
+    });
+}
+
+// Answers cannot be refused once they have arrived: the connections whose callers take none of them are closed, the slowest first.
+void http_server::relieveMemory()
+{
+    const auto &memory = *m_settings.memory;
+    if (!memory.isExceeded()) {
+        return;
+    }
+    refuseSlowSenders(memory.held() - memory.limit());
+    std::vector<std::shared_ptr<caller_session>> stalled;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->isStalledReader()) {
+            stalled.push_back(session);
+        }
+    }
+    std::sort(stalled.begin(), stalled.end(), [](const auto &left, const auto &right) { return left->lastWriteStart() < right->lastWriteStart(); });
+    for (const auto &session : stalled) {
+        if (!memory.isExceeded()) {
+            break;
+        }
+        ++m_metrics.slowCallers;
+        session->close(close_reason::NoMemory);
+    }
+    if (memory.isExceeded()) {
+        scheduleMemoryRetry();
+    }
+    reportLimits(std::chrono::steady_clock::now());
+}
+
+// Logs at most one line a second about limits that were reached.
+void http_server::reportLimits(std::chrono::steady_clock::time_point now)
+{
+    m_metrics.heldBytes = m_settings.memory->held();
+    const auto closed = [this](close_reason reason) { return m_metrics.closedConnections[static_cast<std::size_t>(reason)]; };
+    const auto forDescriptors = m_metrics.connectionsRefused + closed(close_reason::NoDescriptor);
+    const auto events = m_metrics.bodiesPaused + m_metrics.bodiesRefused + m_metrics.slowBodiesRefused + closed(close_reason::NoMemory) + forDescriptors;
+    if (events == m_reportedEvents || now - m_reportedAt < reportInterval) {
+        return;
+    }
+    m_reportedEvents = events;
+    m_reportedAt = now;
+    m_logger.write(severity::Warning,
+                   log_component::Http,
+                   "A limit was reached: held_bytes=" + std::to_string(m_settings.memory->held()) + " limit=" + std::to_string(m_settings.memory->limit())
+                       + " bodies_paused=" + std::to_string(m_metrics.bodiesPaused) + " bodies_refused=" + std::to_string(m_metrics.bodiesRefused)
+                       + " slow_bodies_refused=" + std::to_string(m_metrics.slowBodiesRefused)
+                       + " slow_readers_closed=" + std::to_string(closed(close_reason::NoMemory)) + " connections=" + std::to_string(m_sessions.size())
+                       + " connections_refused=" + std::to_string(m_metrics.connectionsRefused)
+                       + " connections_closed_for_others=" + std::to_string(closed(close_reason::NoDescriptor)) + '.');
+}
+
 std::shared_ptr<caller_session> http_server::sessionOf(caller_id caller)
 {
     const auto it = m_callers.find(caller);
@@ -395,12 +603,11 @@
         }
         const auto now = std::chrono::steady_clock::now();
         // A copy is iterated, as a sweep may close sessions, which removes them from m_sessions.
-        std::vector<std::shared_ptr<caller_session>> sessions;
-        sessions.reserve(m_sessions.size());
-        std::transform(m_sessions.begin(), m_sessions.end(), std::back_inserter(sessions), [](const auto &entry) { return entry.second; });
-        for (const auto &session : sessions) {
+        for (const auto &session : sessionList()) {
             session->sweep(now);
         }
+        relieveMemory();
+        reportLimits(now);
         sweepLater();
     });
 }
@@ -446,6 +653,7 @@
 {
     stopListening();
     m_sweepTimer.cancel();
+    m_memoryTimer.cancel();
     while (!m_sessions.empty()) {
         const auto session = m_sessions.begin()->second;
         session->close(close_reason::VmStopping);
--- a/shell/http_server.hpp
+++ b/shell/http_server.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <absl/status/status.h>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,7 @@
     server_limits limits;
     std::optional<tls_files> tls;
     request_handling handling = request_handling::Completion;
+    std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>(); // Shared with what else holds bytes in the process.
 };
 
 class http_server final : private session_host
@@ -77,6 +79,9 @@
     void onAnswered(caller_id caller, int status) override;
     void onCallerDisconnected(caller_id caller) override;
     void countSlowCaller() override { ++m_metrics.slowCallers; }
+    const std::shared_ptr<memory_budget> &memory() const override { return m_settings.memory; }
+    void waitForMemory(caller_session &session) override;
+    void onBytesHeld() override;
     void countToken() override { ++m_metrics.tokens; }
     void addFirstTokenTime(duration time) override { m_metrics.firstToken.add(time); }
     void addPlainAnswerTime(duration time) override { m_metrics.plainAnswer.add(time); }
@@ -88,6 +93,14 @@
     void accept();
     void acceptPending();
     void addSession(boost::asio::ip::tcp::socket socket);
+    bool makeRoomForConnection();
+    void refuseConnection(boost::asio::ip::tcp::socket &socket);
+    std::vector<std::shared_ptr<caller_session>> sessionList() const;
+    void scheduleMemoryRetry();
+    void retryWaitingBodies();
+    void refuseSlowSenders(std::size_t bytes);
+    void relieveMemory();
+    void reportLimits(std::chrono::steady_clock::time_point now);
     std::shared_ptr<caller_session> sessionOf(caller_id caller);
     void sweepLater();
 
@@ -103,7 +116,14 @@
     std::unordered_map<caller_session *, std::shared_ptr<caller_session>> m_sessions;
     std::unordered_map<caller_id, caller_session *> m_callers;
     std::map<key_digest, std::int32_t> m_connectionsOfKey;
+    boost::asio::steady_timer m_memoryTimer;
+    std::vector<std::weak_ptr<caller_session>> m_waitingForMemory; // The sessions whose bodies wait for memory, the oldest first.
+    std::chrono::steady_clock::time_point m_reportedAt; // Of the log line about limits.
+    std::uint64_t m_reportedEvents = 0;
     caller_id m_lastCaller = 0;
+    std::shared_ptr<char> m_alive = std::make_shared<char>(); // Posted work ends with the server.
+    bool m_memoryRetryScheduled = false;
+    bool m_reliefPosted = false;
     bool m_closing = false;
     bool m_closesAtRest = false;
 };
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -1,6 +1,7 @@
 // Sends the dispatches of the relay core as HTTP calls. A dialect defines the endpoints' requests and responses.
 #pragma once
 
+#include <algorithm>
 #include <concepts>
 #include <functional>
 #include <memory>
@@ -13,6 +14,7 @@
 
 #include "http_client.hpp"
 #include "http_headers.hpp"
+#include "memory_budget.hpp"
 #include "plantainpoint/relay.hpp"
 
 namespace plantainpoint {
@@ -47,15 +49,25 @@
 {
 public:
     using send_gate = std::function<bool(attempt_number)>;
+    // Gets the three digits of a status that is not that of an answer.
+    using status_report = std::function<void(const endpoint_name &, const std::string &requestId, const std::string &status)>;
 
     // The HTTP client has to outlive this object, and so does everything that the functions refer to. The gate tells, when a connection is established,
     // whether the attempt is still to be sent.
     relay_client(
-        http_client &http, Dialect dialect, relay_sink sink, send_gate maySend = [](attempt_number) { return true; })
+        http_client &http,
+        Dialect dialect,
+        relay_sink sink,
+        send_gate maySend = [](attempt_number) { return true; },
+        std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>(),
+        status_report reportStatus = [](const endpoint_name &, const std::string &, const std::string &) {})
         : m_http(http)
         , m_dialect(std::move(dialect))
         , m_sink(std::move(sink))
         , m_maySend(std::move(maySend))
+        , m_maxCollected(std::min(maxCollected, memory->limit() / collectedPart))
+        , m_collectedShare(std::move(memory))
+        , m_reportStatus(std::move(reportStatus))
     {
     }
 
@@ -76,12 +88,18 @@
 
     void breakOff(attempt_number attempt);
     void boundCollected();
+    void countCollected(std::size_t added, std::size_t released)
+    {
+        m_collected = m_collected + added - released;
+        m_collectedShare.charge(m_collected);
+    }
 
     static constexpr auto releaseMargin = std::chrono::milliseconds{150}; // The core decides at the deadline. This timeout only frees the connection.
     static constexpr std::size_t maxPlainAnswer = 4 * 1024UL * 1024UL; // Bytes of an answer that is collected before it is passed on.
     static constexpr std::size_t maxPrefillAnswer = 64 * 1024UL; // Bytes. It holds the name of a result.
     // Bytes of all answers that are collected at the same time. Many endpoints may send without end.
     static constexpr std::size_t maxCollected = 16 * 1024UL * 1024UL;
+    static constexpr std::size_t collectedPart = 3; // One part of so many of the memory budget may hold such answers.
     static constexpr std::uint64_t maxControlAnswer = 64 * 1024UL; // Bytes of an answer to an order or a release.
     static constexpr std::uint64_t maxStream = std::uint64_t{1} << 40U; // Bytes. The size of a stream is not known in advance.
     static constexpr auto orderTimeout = std::chrono::milliseconds{900};
@@ -92,7 +110,10 @@
     relay_sink m_sink;
     send_gate m_maySend;
     std::unordered_map<attempt_number, open_call> m_openCalls;
+    std::size_t m_maxCollected;
     std::size_t m_collected = 0; // Bytes of answers whose attempts are open.
+    memory_share m_collectedShare;
+    status_report m_reportStatus;
 };
 
 // Collects a whole answer, or forwards a stream as it arrives.
@@ -102,6 +123,7 @@
 public:
     receiver(relay_client &client, const relay_dispatch &command)
         : m_client(client)
+        , m_endpoint(command.endpoint)
         , m_id(command.payload->id)
         , m_kind(command.kind)
         , m_streamRequested(command.streamed)
@@ -110,12 +132,12 @@
     }
     receiver(const receiver &) = delete;
     receiver &operator=(const receiver &) = delete;
-    ~receiver() override { m_client.m_collected -= m_collected; }
+    ~receiver() override { m_client.countCollected(0, m_collected); }
 
     // Frees what has been collected. The attempt is broken off.
     void drop()
     {
-        m_client.m_collected -= std::exchange(m_collected, 0);
+        m_client.countCollected(0, std::exchange(m_collected, 0));
         m_reply.body = {};
         m_tooLong = true;
     }
@@ -146,13 +168,15 @@
         } else if (!m_tooLong && m_reply.body.size() + chunk.size() <= (m_kind == dispatch_kind::Prefill ? maxPrefillAnswer : maxPlainAnswer)) {
             m_reply.body += chunk;
             m_collected += chunk.size();
-            m_client.m_collected += chunk.size();
+            m_client.countCollected(chunk.size(), 0);
             m_client.boundCollected();
         } else if (!std::exchange(m_tooLong, true)) {
             m_client.breakOff(m_reply.attempt);
         }
     }
 
+    void onInvalidStatus(unsigned status) override { m_client.m_reportStatus(m_endpoint, m_id, statusText(status)); }
+
     void onEnd(transfer_end end, bool requestMaybeSent) override
     {
         m_client.m_openCalls.erase(m_reply.attempt);
@@ -168,6 +192,14 @@
     }
 
 private:
+    // Returns the three digits of a status line.
+    static std::string statusText(unsigned status)
+    {
+        constexpr std::size_t digits = 3;
+        auto text = std::to_string(status);
+        return std::string(digits - std::min(digits, text.size()), '0') + text;
+    }
+
     static answer_framing framingOf(const http_fields &fields)
     {
         if (boost::beast::http::token_list{fields[boost::beast::http::field::transfer_encoding]}.exists("chunked")) {
@@ -199,6 +231,7 @@
 
     relay_client &m_client;
     std::size_t m_collected = 0; // Bytes.
+    endpoint_name m_endpoint;
     std::string m_id;
     dispatch_kind m_kind;
     relay_reply m_reply;
@@ -219,7 +252,7 @@
 template<endpoint_dialect Dialect>
 void relay_client<Dialect>::boundCollected()
 {
-    while (m_collected > maxCollected) {
+    while (m_collected > m_maxCollected) {
         std::shared_ptr<receiver> longest;
         for (const auto &[attempt, each] : m_openCalls) {
             auto answer = each.answer.lock();
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -22,6 +22,7 @@
 #include "fleet_link.hpp"
 #include "http_server.hpp"
 #include "log_limiter.hpp"
+#include "memory_budget.hpp"
 #include "plantainpoint/relay_core.hpp"
 #include "relay_client.hpp"
 #include "relay_options.hpp"
@@ -131,6 +132,7 @@
     log_limiter m_logLimiter;
     boot_time_source m_clock;
     shell_metrics m_metrics;
+    std::shared_ptr<memory_budget> m_memory;
     relay_core m_core;
     http_client m_http;
     http_client m_directoryHttp;
@@ -156,6 +158,7 @@
     , m_options(std::move(options))
     , m_logger(m_options.logLevel, m_options.logFormat)
     , m_logLimiter(m_options.logLinesPerSecond)
+    , m_memory(std::make_shared<memory_budget>(heldBytesLimit(m_options)))
     , m_core(m_options.core, m_clock)
     , m_http(io, endpointOptions)
     , m_directoryHttp(io, storeOptions)
@@ -163,16 +166,23 @@
           m_http,
           typename Platform::endpoints{},
           [this](relay_input message) { deliver(std::move(message)); },
-          [this](attempt_number attempt) { return m_core.maySend(attempt); })
+          [this](attempt_number attempt) { return m_core.maySend(attempt); },
+          m_memory,
+          [this](const endpoint_name &endpoint, const std::string &requestId, const std::string &status) {
+              run(log_line{severity::Warning,
+                           log_component::Http,
+                           std::nullopt,
+                           "request=" + requestId + " endpoint=" + endpoint.value + " answered with the invalid status " + status});
+          })
     , m_directory(
           io, m_directoryHttp, m_options, [this](relay_input message) { deliver(std::move(message)); }, m_logger)
     , m_fleetLink(
           io, [this](fleet_message message) { std::visit([this](auto &content) { deliver(std::move(content)); }, message); }, m_logger)
     , m_proxy(
-          io, [this](const endpoint_name &endpoint, std::int64_t startedAt) { return m_core.admitProxied(endpoint, startedAt); }, m_logger)
+          io, [this](const endpoint_name &endpoint, std::int64_t startedAt) { return m_core.admitProxied(endpoint, startedAt); }, m_logger, m_memory)
     , m_server(
           io,
-          {server_limits{.connectionsPerAccount = 1'000'000}, {}, request_handling::Opaque},
+          {server_limits{.connectionsPerAccount = 1'000'000, .connections = callerConnectionLimit(m_options)}, {}, request_handling::Opaque, m_memory},
           [this](input message) { onCallerInput(std::move(message)); },
           m_logger,
           m_metrics)
--- a/shell/settings.hpp
+++ b/shell/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,7 @@
     std::chrono::milliseconds idleTime{60'000}; // For connections without a request, incomplete requests and output that is not read.
     std::int32_t connectionsPerAccount = 1000; // Open connections that presented the same key.
     std::int32_t openRequests = 4096;
+    std::size_t connections = std::numeric_limits<std::size_t>::max(); // Open connections of all callers.
     std::size_t outputBuffer = 256 * 1024UL; // Bytes that wait for a slow caller.
 };
 
--- a/shell/shell_metrics.cpp
+++ b/shell/shell_metrics.cpp
@@ -82,6 +82,12 @@
         appendSample(
             out, "http_connections_closed_total", "reason=\"" + std::string(closeReasonNames[i]) + '"', static_cast<double>(metrics.closedConnections[i]));
     }
+    appendMetric("held_bytes", metrics.heldBytes, "gauge");
+    appendMetric("held_bytes_limit", metrics.heldBytesLimit, "gauge");
+    appendMetric("http_bodies_paused_total", metrics.bodiesPaused, "counter");
+    appendMetric("http_bodies_refused_total", metrics.bodiesRefused, "counter");
+    appendMetric("http_slow_bodies_refused_total", metrics.slowBodiesRefused, "counter");
+    appendMetric("http_connections_refused_total", metrics.connectionsRefused, "counter");
     appendMetric("peer_messages_dropped_total", metrics.peerMessagesDropped, "counter");
     appendMetric("peer_connections_refused_total", metrics.peerConnectionsRefused, "counter");
     appendDistribution(out, "http_first_token_seconds", metrics.firstToken);
--- a/shell/shell_metrics.hpp
+++ b/shell/shell_metrics.hpp
@@ -45,6 +45,12 @@
     std::uint64_t connections = 0; // Currently open.
     std::array<std::uint64_t, closeReasonNames.size()> closedConnections{}; // By close_reason.
     std::uint64_t connectionsCut = 0; // Closed by this VM with an open request, unread input or unwritten output.
+    std::uint64_t heldBytes = 0; // Bytes held for callers and endpoints.
+    std::uint64_t heldBytesLimit = 0;
+    std::uint64_t bodiesPaused = 0; // Bodies that were not read for a while, as too many bytes were held.
+    std::uint64_t bodiesRefused = 0; // Bodies that were refused, as too many bytes were held.
+    std::uint64_t slowBodiesRefused = 0; // Bodies that arrived slowly and made room for others.
+    std::uint64_t connectionsRefused = 0; // Connections of callers beyond their bound.
     std::uint64_t peerMessagesDropped = 0; // Messages to peers that were dropped because their queue was full or outdated.
     std::uint64_t peerConnectionsRefused = 0; // Connections of peers that failed the handshake or sent a malformed frame.
     time_distribution firstToken; // Time from the complete request to the first token.
--- a/test/bytes/caller_targets.cpp
+++ b/test/bytes/caller_targets.cpp
@@ -126,6 +126,9 @@
     }
     void onCallerDisconnected(caller_id /*caller*/) override { m_openCaller = 0; }
     void countSlowCaller() override { }
+    const std::shared_ptr<memory_budget> &memory() const override { return m_memory; }
+    void waitForMemory(caller_session & /*session*/) override { problem += "a body waits for memory without a bound"; }
+    void onBytesHeld() override { }
     void countToken() override { }
     void addFirstTokenTime(duration /*time*/) override { }
     void addPlainAnswerTime(duration /*time*/) override { }
@@ -164,6 +167,7 @@
         return same && received.body() == body ? "" : "the endpoint gets another request\n" + bytes;
     }
 
+    std::shared_ptr<memory_budget> m_memory = std::make_shared<memory_budget>();
     asio::io_context &m_io;
     request_handling m_handling;
     server_limits m_limits;
--- a/test/relay_options_test.cpp
+++ b/test/relay_options_test.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "memory_budget.hpp"
 #include "relay_options.hpp"
 
 using namespace plantainpoint;
@@ -53,4 +54,28 @@
     BOOST_TEST((load("")->core.grace == milliseconds{8000}));
 }
 
+// Guards against bounds of another unit, and against a VM that does not start because the platform has no value for the placeholders.
+BOOST_AUTO_TEST_CASE(memoryAndDescriptorsHaveDefaults)
+{
+    for (const auto *value : {"", "\"null\"", "null", "\"{{limits.memory_mb|json}}\""}) {
+        const auto options = load("memory_mb: " + std::string(value) + "\nmax_descriptors: " + value + '\n');
+        BOOST_REQUIRE(options.ok());
+        BOOST_TEST(options->memory == 110'000'000U);
+        BOOST_TEST(options->maxDescriptors == 3075U);
+    }
+    const auto options = load("memory_mb: 88\nmax_descriptors: \"10250\"\n");
+    BOOST_REQUIRE(options.ok());
+    BOOST_TEST(heldBytesLimit(*options) == 44'000'000U);
+    BOOST_TEST(callerConnectionLimit(*options) == 5025U);
+    BOOST_TEST(callerConnectionLimit(*load("max_descriptors: 0\n")) == 28U);
+}
+
+// Guards against a budget in which the largest body of a request within the limits has no place.
+BOOST_AUTO_TEST_CASE(theLargestBodyFitsIntoTheSmallestMemory)
+{
+    const auto options = load("memory_mb: 1\n");
+    BOOST_REQUIRE(options.ok());
+    BOOST_TEST(memory_budget(heldBytesLimit(*options)).largeBodyLimit() > 4U * 1024 * 1024);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
