Evacuate data centres on the operator's request

Change: the directory's reader reads the records, the VMs merge them with each message, and every way to an endpoint checks them. Until half of the bound may have passed, evacuated endpoints get what no other one has room for.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -1,6 +1,7 @@
 // Inputs and outputs of the relay core: requests with opaque bodies, forwarded to endpoints that a directory announces.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <memory>
@@ -167,9 +168,31 @@
     duration age = duration::max(); // Longest time that may have passed since then.
 };
 
+// Returns whether the two state the same apart from the ages, which grow all the time.
+inline bool isSameKnowledge(const std::vector<evacuation> &a, const std::vector<evacuation> &b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const auto &x, const auto &y) {
+        return x.dataCentre == y.dataCentre && x.inForce == y.inForce && x.position == y.position;
+    });
+}
+
+inline constexpr std::size_t maxEvacuations = 64; // Data centres with a record. Every message between VMs carries all of them.
+inline constexpr std::size_t maxDataCentreName = 128; // Bytes. All records together fit into a datagram with everything else.
+
+// Returns whether the name of a data centre may be passed on and logged: it is printable and not too long.
+inline bool isEvacuable(const data_centre_name &name)
+{
+    const auto isPrintable = [](char c) { return c > ' ' && c < '\x7f'; };
+    return !name.empty() && name.value.size() <= maxDataCentreName && std::all_of(name.value.begin(), name.value.end(), isPrintable);
+}
+
 // Evacuations that the directory's reader knows. It replaces what is known of a data centre if its position is higher.
 struct evacuations_read {
     std::vector<evacuation> evacuations;
+    // After a read of all records, a data centre that is not listed and whose known position is at least the first and below the second one is not evacuated
+    // any more. Both are 0 if only changes were read.
+    std::uint64_t completeFrom = 0;
+    std::uint64_t completeTo = 0;
 };
 
 // Result of a read_directory command.
@@ -533,6 +556,7 @@
                                  stream_part,
                                  relay_attempt_ended,
                                  configuration_read,
+                                 evacuations_read,
                                  directory_read,
                                  directory_read_finished,
                                  directory_state,
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -121,7 +121,30 @@
     return out;
 }
 
-// Encodes loads, waiting requests, changed roles, admissions and leaving endpoints, which both messages carry.
+// The age is left out where it is not known. It is rounded up, as it is an upper bound.
+json encodeEvacuation(const evacuation &each)
+{
+    json out{each.dataCentre.value, each.inForce, each.position};
+    if (each.age != duration::max()) {
+        out.push_back(std::chrono::ceil<milliseconds>(each.age).count());
+    }
+    return out;
+}
+
+evacuation decodeEvacuation(const json &in)
+{
+    evacuation out{{in.at(0).get<std::string>()}, in.at(1).get<bool>(), wholeNumber<std::uint64_t>(in.at(2)), duration::max()};
+    if (!isEvacuable(out.dataCentre)) {
+        throw std::invalid_argument("fleet message: expected a printable name of an evacuated data centre");
+    }
+    constexpr std::size_t ageIndex = 3;
+    if (in.size() > ageIndex) {
+        out.age = milliseconds{wholeNumber<std::uint32_t>(in.at(ageIndex))};
+    }
+    return out;
+}
+
+// Encodes loads, waiting requests, changed roles, admissions, leaving endpoints and evacuations, which both messages carry.
 template<class Message>
 json encodeTotals(const Message &message)
 {
@@ -137,9 +160,12 @@
              encodeList(message.usage, [](const auto &usage) {
                  return json{usage.account.value, usage.admitted, usage.level};
              })};
-    if (!message.leavingEndpoints.empty()) {
+    if (!message.leavingEndpoints.empty() || !message.evacuations.empty()) {
         out.push_back(encodeList(message.leavingEndpoints, [](const auto &endpoint) { return json{endpoint.name.value, endpoint.startedAt}; }));
     }
+    if (!message.evacuations.empty()) {
+        out.push_back(encodeList(message.evacuations, encodeEvacuation));
+    }
     return out;
 }
 
@@ -166,6 +192,11 @@
             return leaving_endpoint{{endpoint.at(0).get<std::string>()}, wholeNumber<std::int64_t>(endpoint.at(1))};
         });
     }
+    // VMs that know no evacuation, or of an earlier version, send none.
+    constexpr std::size_t evacuationsIndex = 5;
+    if (in.size() > evacuationsIndex) {
+        message.evacuations = decodeList<evacuation>(in.at(evacuationsIndex), decodeEvacuation);
+    }
 }
 
 json encodeTraits(const std::vector<request_trait> &traits)
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -45,6 +45,16 @@
     section.finish();
 }
 
+void readEvacuation(settings_section &&section, relay_settings &out)
+{
+    constexpr double minBound = 500;
+    constexpr double maxBound = 600'000;
+    const auto defaultBound = std::chrono::duration<double, std::milli>(out.evacuationBound).count();
+    const std::chrono::duration<double, std::milli> bound(section.number("bound_ms", defaultBound, minBound, maxBound));
+    out.evacuationBound = std::chrono::duration_cast<duration>(bound);
+    section.finish();
+}
+
 void readEngines(settings_section &&section, relay_settings &out)
 {
     constexpr std::int64_t maxTokensPerMs = 1'000'000;
@@ -93,6 +103,7 @@
     constexpr double maxCores = 10'000;
     out.core.capacity = static_cast<std::int64_t>(root.number("processor_cores", 0, 0, maxCores) * thousandthsPerCore);
     readDirectory(root.section("reading"), out.core);
+    readEvacuation(root.section("evacuation"), out.core);
     readRetries(root.section("retries"), out.core);
     readLimits(root.section("limits"), out.core);
     readEngines(root.section("engines"), out.core);
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -162,6 +162,7 @@
     const auto pause = m_pauses.find(info.name);
     entry.pausedUntil = pause != m_pauses.end() && pause->second.startedAt == info.startedAt ? pause->second.until : time_point{};
     entry.withdrawnAt.reset();
+    updateClosing(entry);
     return changed;
 }
 
@@ -343,8 +344,8 @@
 {
     std::vector<endpoint_name> out;
     for (const auto &[name, entry] : m_entries) {
-        if (entry.info.service == service && entry.isListed(now) && !entry.acceptsWork(now)) {
-            out.push_back(name);
+        if (entry.info.service == service && entry.isListed(now) && !entry.isClosed(now) && !entry.acceptsWork(now)) {
+            out.push_back(name); // The hub knows the evacuations itself.
         }
     }
     return out;
@@ -445,6 +446,59 @@
     return reports;
 }
 
+void endpoint_directory::updateClosing(endpoint_entry &entry) const
+{
+    const auto found = m_closedFrom.find(entry.info.dataCentre);
+    entry.closedFrom = found == m_closedFrom.end() ? std::nullopt : std::optional(found->second);
+}
+
+void endpoint_directory::setEvacuated(std::map<data_centre_name, time_point> closedFrom, time_point now)
+{
+    m_closedFrom = std::move(closedFrom);
+    for (auto &[name, entry] : m_entries) {
+        const bool before = entry.isEvacuated();
+        updateClosing(entry);
+        if (before && !entry.isEvacuated()) {
+            entry.evacuationEndedAt = now;
+        }
+    }
+}
+
+bool endpoint_directory::onlyClosed(const service_name &service, const std::optional<software_version> &version, time_point now) const
+{
+    if (m_closedFrom.empty()) {
+        return false;
+    }
+    bool anyClosed = false;
+    for (const auto &[name, entry] : m_entries) {
+        const bool mayServe = entry.info.service == service && entry.info.role != endpoint_role::Prefill && (!version || entry.info.version == *version);
+        if (mayServe && entry.usable(now)) {
+            return false;
+        }
+        anyClosed = anyClosed || (mayServe && !entry.leaving && entry.isClosed(now) && entry.isListed(now));
+    }
+    return anyClosed;
+}
+
+bool endpoint_directory::isClosedAddress(const std::string &address, time_point now) const
+{
+    return !m_closedFrom.empty() && std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+        return item.second.info.address == address && item.second.isClosed(now);
+    });
+}
+
+std::pair<std::size_t, std::size_t> endpoint_directory::countIn(const data_centre_name &dataCentre) const
+{
+    std::pair<std::size_t, std::size_t> counts;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.info.dataCentre == dataCentre) {
+            ++counts.first;
+            counts.second += entry.open.size();
+        }
+    }
+    return counts;
+}
+
 void endpoint_directory::updatePace(endpoint_entry &entry, time_point now) const
 {
     const auto limit = entry.limit.perSecond();
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -78,10 +78,16 @@
     time_point probedAt{};
     bool wayLost = false; // Proxies reach the endpoint while connections of this VM fail.
     bool leaving = false; // This run has said that it leaves, whatever the directory lists.
+    // Set while its data centre is evacuated: it gets no request from this time on, and before it only if no other endpoint has room.
+    std::optional<time_point> closedFrom;
+    std::optional<time_point> evacuationEndedAt; // End of the last evacuation of its data centre. It had no work until then and may be cold.
 
     // Returns whether the directory lists the endpoint as one that takes requests.
     bool isListed(time_point now) const;
-    bool usable(time_point now) const { return !leaving && isListed(now); }
+    bool usable(time_point now) const { return !leaving && !isClosed(now) && isListed(now); }
+    bool isEvacuated() const { return closedFrom.has_value(); }
+    // Returns whether the evacuation of its data centre allows no request any more.
+    bool isClosed(time_point now) const { return closedFrom && *closedFrom <= now; }
     // Returns whether the endpoint accepts work now, as far as this VM knows: of this VM, or of another one, which knows its own pauses.
     bool acceptsWork(time_point now) const { return pausedUntil <= now && acceptsWorkOfOthers(now); }
     bool acceptsWorkOfOthers(time_point now) const;
@@ -177,10 +183,31 @@
     std::vector<leaving_endpoint> leavingReports(bool refresh, time_point now) const;
     std::size_t leavingEndpoints() const { return m_leavingRuns.size(); }
 
+    // Sets the evacuated data centres with the time from which their endpoints get no request.
+    void setEvacuated(std::map<data_centre_name, time_point> closedFrom, time_point now);
+    bool isClosed(const data_centre_name &dataCentre, time_point now) const
+    {
+        const auto found = m_closedFrom.find(dataCentre);
+        return found != m_closedFrom.end() && found->second <= now;
+    }
+    bool hasEvacuated() const { return !m_closedFrom.empty(); }
+    // Returns whether the endpoints that could serve, of the version if one is given, get no request only because their data centres are evacuated.
+    bool onlyClosed(const service_name &service, const std::optional<software_version> &version, time_point now) const;
+    // Returns whether the address belongs to an endpoint that gets no request because of an evacuation.
+    bool isClosedAddress(const std::string &address, time_point now) const;
+    // Returns the endpoints of a data centre, and this VM's open attempts at them.
+    std::pair<std::size_t, std::size_t> countIn(const data_centre_name &dataCentre) const;
+
+    // Has no endpoint get a request until then, as this VM may have missed what the others know.
+    void hold(time_point until) { m_heldUntil = until; }
+    bool isHeld(time_point now) const { return now < m_heldUntil; }
+    time_point heldUntil() const { return m_heldUntil; }
+
 private:
     bool applyAnnouncement(const relay_endpoint &info);
     bool withdraw(endpoint_entry &entry, time_point now) const;
     void updatePace(endpoint_entry &entry, time_point now) const;
+    void updateClosing(endpoint_entry &entry) const;
 
     // An entry that the directory drops and lists again, as an older copy of it may do, is bound by the pause.
     struct endpoint_pause {
@@ -191,6 +218,8 @@
     std::map<endpoint_name, endpoint_entry> m_entries;
     leaving_runs m_leavingRuns;
     std::map<endpoint_name, endpoint_pause> m_pauses;
+    std::map<data_centre_name, time_point> m_closedFrom; // Of the evacuated data centres.
+    time_point m_heldUntil{};
     std::uint64_t m_position = 0;
     std::uint64_t m_changedPosition = 0;
     time_point m_reachableSince{};
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -30,16 +30,28 @@
     return candidates;
 }
 
+// Endpoints of evacuated data centres get only what no other one has room for. The other data centres share the work by the costs of their endpoints, which
+// rise with their load.
 std::optional<model_placement> placer::choose(const placement_request &request, time_point now) const
 {
+    if (m_endpoints.isHeld(now)) {
+        return std::nullopt;
+    }
+    const auto elsewhere = m_endpoints.hasEvacuated() ? chooseAmong(request, false, now) : std::nullopt;
+    return elsewhere ? elsewhere : chooseAmong(request, true, now);
+}
+
+std::optional<model_placement> placer::chooseAmong(const placement_request &request, bool evacuatedToo, time_point now) const
+{
+    const auto allowed = [&](std::vector<endpoint_entry *> endpoints) { return evacuatedToo ? std::move(endpoints) : withoutEvacuated(std::move(endpoints)); };
     const placement_context context{
         m_fleet, m_dataCentre, m_speeds, now, request.excluded, request.maxEventGap, request.version, request.owner.isLocal(), request.seed};
     if (!request.engine || !request.tokens) {
-        auto *const endpoint = choosePlain(plainCandidates(request.service, now), context);
+        auto *const endpoint = choosePlain(allowed(plainCandidates(request.service, now)), context);
         return endpoint == nullptr ? std::nullopt : std::optional(model_placement{nullptr, endpoint, {}});
     }
-    const auto decodes = m_endpoints.candidates(request.service, endpoint_role::Decode, now);
-    const auto prefills = request.mayPrefill ? m_endpoints.candidates(request.service, endpoint_role::Prefill, now) : std::vector<endpoint_entry *>{};
+    const auto decodes = allowed(m_endpoints.candidates(request.service, endpoint_role::Decode, now));
+    const auto prefills = request.mayPrefill ? allowed(m_endpoints.candidates(request.service, endpoint_role::Prefill, now)) : std::vector<endpoint_entry *>{};
     return chooseModel(prefills, decodes, *request.engine, *request.tokens, context);
 }
 
--- a/src/placer.hpp
+++ b/src/placer.hpp
@@ -77,6 +77,7 @@
     std::vector<waiting_count> waitingByService() const;
 
 private:
+    std::optional<model_placement> chooseAmong(const placement_request &request, bool evacuatedToo, time_point now) const;
     bool missesObjective(const placement_request &request, time_point now) const;
     // Returns plain endpoints, and decode endpoints for model requests without a token count.
     std::vector<endpoint_entry *> plainCandidates(const service_name &service, time_point now) const;
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -52,6 +52,7 @@
              .heldOutputFraction = settings.heldOutputFraction,
              .directPrefillLimit = settings.directPrefillLimit}
     , endpoints(stableHash(settings.self.vm.value))
+    , evacuated(settings.evacuationBound)
     , fleet({settings.self.vm, settings.peerAddress, settings.dataCentre, settings.capacity}, settings.self.number)
     , ways(endpoints, fleet, stableHash(settings.self.vm.value))
     , limiter(settings.limitTolerance)
@@ -274,7 +275,7 @@
 bool relay_requests::place(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    if (now >= entry.deadline || m_components.ways.isIsolated(now)) {
+    if (now >= entry.deadline || m_components.ways.isIsolated(now) || m_components.endpoints.isHeld(now)) {
         return false; // After the deadline, the tick that ends the request is late.
     }
     const auto request = placementRequestOf(entry);
@@ -289,7 +290,11 @@
                                         true,
                                         request.seed};
         const auto decodes = m_components.endpoints.candidates(entry.service, endpoint_role::Decode, now);
-        if (auto *const decode = chooseDecode(decodes, *request.engine, *request.tokens, context)) {
+        auto *decode = chooseDecode(withoutEvacuated(decodes), *request.engine, *request.tokens, context);
+        if (decode == nullptr) {
+            decode = chooseDecode(decodes, *request.engine, *request.tokens, context);
+        }
+        if (decode != nullptr) {
             decode->pace.take(now);
             send(entry, *decode, dispatch_kind::Decode, 0);
             return true;
@@ -349,10 +354,49 @@
     return true;
 }
 
+// Refuses a request at once if the endpoints that could serve it are in evacuated data centres.
+bool relay_requests::refuseEvacuated(relay_entry &entry)
+{
+    if (!m_components.endpoints.onlyClosed(entry.service, entry.version, m_components.clock.now())) {
+        return false;
+    }
+    failRequest(entry, failure::NoEndpoint, outcome::NotRun, "the data centres of all endpoints of " + entry.service.value + " are evacuated");
+    return true;
+}
+
+void relay_requests::refuseEvacuated()
+{
+    std::vector<relay_entry *> waiting;
+    for (const auto &[caller, entry] : m_entries) {
+        if (entry->machine.stage() == relay_stage::Waiting) {
+            waiting.push_back(entry.get());
+        }
+    }
+    for (auto *entry : waiting) {
+        refuseEvacuated(*entry);
+    }
+}
+
+void relay_requests::placeHeld()
+{
+    std::vector<relay_entry *> waiting;
+    for (const auto &[caller, entry] : m_entries) {
+        if (entry->machine.stage() == relay_stage::Waiting && entry->queuedAt != time_point{} && !entry->ask) {
+            waiting.push_back(entry.get());
+        }
+    }
+    for (auto *entry : waiting) {
+        if (entry->machine.stage() == relay_stage::Waiting) { // Placing another request may have placed this one.
+            removeFromQueue(*entry);
+            placeOrWait(*entry);
+        }
+    }
+}
+
 // Places a new request, or lets it wait in the order of the hub.
 void relay_requests::placeOrWait(relay_entry &entry)
 {
-    if (refuseIsolated(entry) || refusePaused(entry) || askHub(entry)) {
+    if (refuseIsolated(entry) || refusePaused(entry) || refuseEvacuated(entry) || askHub(entry)) {
         return;
     }
     if (!admitAlone(entry)) {
@@ -382,6 +426,9 @@
 void relay_requests::enqueueOrRefuse(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
+    if (refuseEvacuated(entry)) {
+        return;
+    }
     if (!m_components.endpoints.hasService(entry.service, now)) {
         failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is known");
         return;
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -29,7 +29,7 @@
     const auto trusted = std::find_if(hubs.begin(), hubs.end(), [&](const auto *each) { return now >= m_doubtedHubs[each->info.vm]; });
     // A VM that stops places by itself, but for endpoints whose limits only the hub may use.
     const bool placesAlone = m_components.shuttingDown && !m_components.endpoints.hasLimits(entry.service, now);
-    if (trusted == hubs.end() || placesAlone) {
+    if (trusted == hubs.end() || placesAlone || m_components.endpoints.isHeld(now)) {
         return false;
     }
     const auto *const hub = *trusted;
@@ -130,7 +130,8 @@
     const model_placement placement{usable(grant.prefill), usable(grant.serving), {}};
     m_components.metrics.placementWait.add(now - entry.arrivedAt);
     const bool hasVersion = placement.decode != nullptr && (!entry.version || placement.decode->info.version == *entry.version);
-    if (now < entry.deadline && !m_components.ways.isIsolated(now) && hasVersion && (grant.prefill.empty() || placement.prefill != nullptr)) {
+    if (now < entry.deadline && !m_components.ways.isIsolated(now) && !m_components.endpoints.isHeld(now) && hasVersion
+        && (grant.prefill.empty() || placement.prefill != nullptr)) {
         apply(entry, placement);
         scheduleWakeup(entry);
     } else if (place(entry)) {
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -135,7 +135,8 @@
     }
     const auto &attempt = isOverdue(*entry, number) ? *entry->overdueAttempt : *entry->attempt;
     const auto *const endpoint = m_components.endpoints.find(attempt.endpoint);
-    return endpoint != nullptr && endpoint->info.startedAt == attempt.endpointStartedAt && endpoint->usable(m_components.clock.now());
+    const auto now = m_components.clock.now();
+    return endpoint != nullptr && endpoint->info.startedAt == attempt.endpointStartedAt && endpoint->usable(now) && !m_components.endpoints.isHeld(now);
 }
 
 void relay_requests::close(std::optional<relay_attempt> &attempt)
@@ -228,7 +229,15 @@
 void relay_requests::releaseSource(relay_entry &entry)
 {
     if (entry.source) {
-        m_components.commands.push_back(release_prefill{*std::exchange(entry.source, std::nullopt)});
+        releasePrefill(*std::exchange(entry.source, std::nullopt));
+    }
+}
+
+// A release is a request as well. Without it, the result expires by itself.
+void relay_requests::releasePrefill(prefill_source source)
+{
+    if (!m_components.endpoints.isClosedAddress(source.address, m_components.clock.now())) {
+        m_components.commands.push_back(release_prefill{std::move(source)});
     }
 }
 
@@ -246,7 +255,7 @@
     if (!entry.headSent && !entry.attempt) {
         entry.source = std::move(source);
     } else {
-        m_components.commands.push_back(release_prefill{std::move(*source)});
+        releasePrefill(std::move(*source));
     }
 }
 
@@ -418,7 +427,8 @@
     entry->prefilledAt = m_components.clock.now();
     auto *const decode = m_components.endpoints.find(entry->reservationEndpoint);
     const bool hasVersion = decode != nullptr && (!entry->version || decode->info.version == *entry->version);
-    if (hasVersion && decode->acceptsWork(m_components.clock.now())) {
+    const auto now = m_components.clock.now();
+    if (hasVersion && decode->acceptsWork(now) && !m_components.endpoints.isHeld(now)) {
         sendDecode(*entry, *decode);
         scheduleWakeup(*entry);
         return;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -22,6 +22,8 @@
 constexpr duration refreshInterval = std::chrono::seconds{1}; // Hubs tell all known limits and default versions of endpoints once in this time.
 constexpr duration refreshTime = std::chrono::milliseconds{160}; // Longer than fleetMessageInterval, so that every receiver gets a message within it.
 constexpr duration versionsUpdateInterval = std::chrono::seconds{1}; // Pause between two looks for endpoints that are not listed any more.
+// A VM that was suspended has read the messages that arrived meanwhile within this time. What they state of ages is out of date.
+constexpr duration lateMessagesTime = std::chrono::milliseconds{500};
 constexpr duration shutdownRetry = std::chrono::milliseconds{100}; // Another VM takes the request at once.
 constexpr std::size_t maxFetchedEntries = 256; // Entries of endpoints that a VM that has just started gets from a hub.
 constexpr std::size_t maxFetchedConfigSize = 64 * 1024UL; // Bytes. Larger configurations are read from the directory.
@@ -52,6 +54,7 @@
     }
 
     void on(const configuration_read &read);
+    void on(const evacuations_read &read);
     void on(const directory_read &read);
     void on(const directory_read_finished &finished);
     void on(const directory_state &state)
@@ -78,6 +81,10 @@
     template<class Message>
     void onMessage(const fleet_view::message_arrival &arrival, const Message &message);
     void updateVersions();
+    void placeHeld(time_point now);
+    void applyEvacuations(const std::vector<evacuation> &known, const std::string &from);
+    void closeEvacuated(time_point now);
+    void onResumed(time_point now);
     void onLevels(const fleet_view::message_arrival &arrival, const fleet_summary &summary);
     void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
     void onSummaryOfDirectory(const fleet_summary &summary);
@@ -104,6 +111,10 @@
     time_point lastReportAt{};
     time_point lastFleetCheckAt = time_point::max(); // Time of the last tick, or of a first message after a suspension.
     time_point nextFetch{};
+    bool wasHeld = false;
+    time_point resumedAt{}; // End of the last suspension.
+    std::optional<time_point> evacuationsProvedAt; // All evacuations up to this time are known.
+    std::optional<time_point> catchUpReadAt; // Start of the read that shows what a suspended VM has missed.
     time_point nextMembersRead{};
     time_point nextVersionsUpdate{};
     stop_sequence stop;
@@ -124,6 +135,85 @@
                               + " routes=" + std::to_string(read.config->routes.size()) + " accounts=" + std::to_string(read.config->accounts.size()));
 }
 
+void relay_core::state::on(const evacuations_read &read)
+{
+    const auto now = components.clock.now();
+    auto known = read.evacuations;
+    for (auto &each : known) {
+        // The reader knows the time since its own last read only, which is long at a VM that has taken the reading over.
+        if (evacuationsProvedAt && now - *evacuationsProvedAt < each.age) {
+            each.age = now - *evacuationsProvedAt;
+        }
+        if (!components.evacuated.hasRoomFor(each.dataCentre)) {
+            ++components.metrics.evacuationsIgnored;
+            components.logMessage(severity::Warning,
+                                  log_component::Monitor,
+                                  "evacuation data_centre=" + each.dataCentre.value + " ignored, as " + std::to_string(maxEvacuations)
+                                      + " data centres have a record");
+        }
+    }
+    const auto ended = components.evacuated.missingFrom(read, now);
+    known.insert(known.end(), ended.begin(), ended.end());
+    applyEvacuations(known, "the directory");
+    components.evacuated.setKnown();
+}
+
+void relay_core::state::applyEvacuations(const std::vector<evacuation> &known, const std::string &from)
+{
+    const auto now = components.clock.now();
+    bool changed = false;
+    for (const auto &each : known) {
+        if (!components.evacuated.update(each, now)) {
+            continue;
+        }
+        changed = true;
+        const auto [endpoints, open] = components.endpoints.countIn(each.dataCentre);
+        const auto age = each.age == duration::max() ? std::string("-") : millisText(each.age);
+        components.logMessage(severity::Warning,
+                              log_component::Monitor,
+                              "evacuation data_centre=" + each.dataCentre.value + (each.inForce ? " begins" : " ends")
+                                  + " position=" + std::to_string(each.position) + (each.inForce ? " age_ms=" + age : std::string{})
+                                  + " endpoints=" + std::to_string(endpoints) + " open=" + std::to_string(open) + " from=\"" + from + '"');
+    }
+    if (changed) {
+        components.endpoints.setEvacuated(components.evacuated.closing(), now);
+        closeEvacuated(now);
+    }
+}
+
+// Refuses what waits for endpoints that get no requests from now on.
+void relay_core::state::closeEvacuated(time_point now)
+{
+    const auto closed = components.evacuated.takeClosed(now);
+    for (const auto &dataCentre : closed) {
+        const auto [endpoints, open] = components.endpoints.countIn(dataCentre);
+        components.logMessage(severity::Warning,
+                              log_component::Monitor,
+                              "evacuation data_centre=" + dataCentre.value + " gets no requests any more endpoints=" + std::to_string(endpoints)
+                                  + " open=" + std::to_string(open));
+    }
+    if (!closed.empty()) {
+        requests.refuseEvacuated();
+    }
+}
+
+// A VM that was suspended for long may have missed an evacuation that is in force by now. Its requests wait until a read has shown what it has missed, or
+// until the messages of the others must have arrived. A shorter suspension and the age of what it knew before fit into the bound together.
+void relay_core::state::onResumed(time_point now)
+{
+    const auto suspendedFor = now - lastFleetCheckAt;
+    if (suspendedFor <= suspensionTime) {
+        return;
+    }
+    resumedAt = now;
+    if (suspendedFor > components.settings.evacuationBound - components.settings.directoryBound - lateMessagesTime && components.fleet.members(now) > 1) {
+        components.endpoints.hold(now + lateMessagesTime);
+        wasHeld = true;
+        catchUpReadAt.reset();
+        follower.expedite();
+    }
+}
+
 void relay_core::state::on(const directory_read &read)
 {
     // Entries that lapsed in an outage arrive with the first read after it.
@@ -162,6 +252,11 @@
     const auto now = components.clock.now();
     const bool before = components.endpoints.reachable();
     follower.onReadFinished(finished.succeeded, now);
+    if (finished.succeeded && catchUpReadAt) {
+        catchUpReadAt.reset();
+        components.endpoints.hold(now);
+        placeHeld(now);
+    }
     const bool reachable = finished.succeeded || follower.reachable(now);
     components.endpoints.onReachable(reachable, follower.hasGap(now), now);
     if (reachable != before) {
@@ -189,6 +284,12 @@
     components.limiter.debit(arrival.admitted, now);
     components.quarantine.onEvidence(message.evidence, now);
     components.endpoints.onLimits(message.limits, now);
+    // They come before the proof of the directory's age in the same message, which holds only with them.
+    auto known = message.evacuations;
+    for (auto &each : known) {
+        each.age = now - resumedAt < lateMessagesTime ? duration::max() : each.age;
+    }
+    applyEvacuations(known, "vm=" + message.from.vm.value);
     for (const auto &endpoint : message.leavingEndpoints) {
         if (components.endpoints.onLeaving(endpoint, now)) {
             components.logMessage(severity::Info,
@@ -269,9 +370,21 @@
     }
     const bool configBehind = knowledge.configVersion > directoryState.configVersion;
     const bool endpointsBehind = knowledge.lastChange > endpoints.position();
+    if (!configBehind && !endpointsBehind && endpoints.known() && !components.evacuated.known()) {
+        // The state came from a VM of an earlier version, which does not know the evacuations.
+        if (now >= nextFetch) {
+            nextFetch = now + fetchInterval;
+            follower.expedite();
+            components.commands.push_back(fetch_fleet_state{address});
+        }
+        return;
+    }
     if (!configBehind && !endpointsBehind) {
         if (knowledge.proofAge && endpoints.known()) {
             endpoints.onUnchanged(knowledge.position);
+            if (now - resumedAt >= lateMessagesTime) {
+                evacuationsProvedAt = std::max(evacuationsProvedAt.value_or(time_point{}), now - *knowledge.proofAge);
+            }
             if (follower.onProof(now - *knowledge.proofAge, now)) {
                 endpoints.onReadElsewhere();
             }
@@ -289,6 +402,15 @@
     }
 }
 
+// Places the requests that waited for the end of the hold, by the hub where there is one.
+void relay_core::state::placeHeld(time_point now)
+{
+    const bool isHeld = components.endpoints.isHeld(now);
+    if (std::exchange(wasHeld, isHeld) && !isHeld) {
+        requests.placeHeld();
+    }
+}
+
 void relay_core::state::on(const members_read &read)
 {
     components.fleet.onMembers(read, components.clock.now());
@@ -334,6 +456,7 @@
                       .evidence = components.quarantine.evidence(now),
                       .limits = components.endpoints.limitReports(refreshes, now),
                       .leavingEndpoints = components.endpoints.leavingReports(refreshes, now),
+                      .evacuations = components.evacuated.all(now),
                       .defaults = refreshes ? components.versions.defaults(now) : std::nullopt};
     if (now - lastChangeAt < changesRepeatTime) {
         result.changesFrom = directoryState.changesFrom;
@@ -393,6 +516,9 @@
     }
     if (follower.startRead(role, now)) {
         components.commands.push_back(read_directory{components.endpoints.position()});
+        if (components.endpoints.isHeld(now)) {
+            catchUpReadAt = now;
+        }
     }
     // The known VMs of this data centre may all have been replaced.
     if (!components.fleet.hasHub(now) && now >= nextMembersRead) {
@@ -491,6 +617,7 @@
 {
     // A VM that was suspended notices first which other VMs it has not heard since. Its requests wait for the tick, as their answers may have arrived.
     const auto now = m_state->components.clock.now();
+    m_state->onResumed(now);
     if (now - m_state->lastFleetCheckAt > suspensionTime) {
         m_state->lastFleetCheckAt = now;
         m_state->exchangeFleetMessages(now);
@@ -507,7 +634,10 @@
 void relay_core::tick()
 {
     const auto now = m_state->components.clock.now();
+    m_state->onResumed(now);
     m_state->lastFleetCheckAt = now;
+    m_state->closeEvacuated(now);
+    m_state->placeHeld(now);
     m_state->requests.tick(now);
     m_state->requests.placeWaiting();
     m_state->components.endpoints.tick(now);
@@ -536,6 +666,12 @@
     if (m_state->requests.workVersion() != m_state->reportedWork && m_state->components.fleet.placingHub(now) != nullptr) {
         next = std::min(next, m_state->lastReportAt + reportInterval);
     }
+    if (const auto closing = m_state->components.evacuated.nextClosing(now)) {
+        next = std::min(next, *closing);
+    }
+    if (m_state->components.endpoints.isHeld(now)) {
+        next = std::min(next, m_state->components.endpoints.heldUntil());
+    }
     if (const auto change = m_state->stop.nextChange()) {
         next = std::min(next, *change);
     }
@@ -551,7 +687,8 @@
 
 bool relay_core::ready() const
 {
-    return m_state->components.routes && m_state->components.endpoints.known() && !m_state->components.shuttingDown;
+    const auto &components = m_state->components;
+    return components.routes && components.endpoints.known() && components.evacuated.known() && !components.shuttingDown;
 }
 
 std::optional<time_point> relay_core::endsAt() const
@@ -619,6 +756,19 @@
                                {"crashes", request.crashes},
                                {"left_s", std::chrono::duration_cast<std::chrono::seconds>(request.left).count()}});
     }
+    auto evacuated = nlohmann::json::array();
+    for (const auto &each : components.evacuated.all(now)) {
+        const auto [endpoints, open] = components.endpoints.countIn(each.dataCentre);
+        const bool closed = components.endpoints.isClosed(each.dataCentre, now);
+        evacuated.push_back({{"data_centre", each.dataCentre.value},
+                             {"state",
+                              !each.inForce ? "ended"
+                              : closed      ? "closed"
+                                            : "moving"},
+                             {"position", each.position},
+                             {"endpoints", endpoints},
+                             {"open", open}});
+    }
     return {{"vm", components.settings.self.vm.value},
             {"config_version", configVersion()},
             {"directory_position", components.endpoints.position()},
@@ -626,6 +776,7 @@
             {"endpoints", components.endpoints.size()},
             {"limited_endpoints", components.endpoints.limitedEndpoints()},
             {"leaving_endpoints", components.endpoints.leavingEndpoints()},
+            {"evacuations", std::move(evacuated)},
             {"endpoints_through_proxies", components.ways.lostWays()},
             {"cut_off", components.ways.isCutOff()},
             {"vms_heard", components.fleet.heard(now)},
@@ -651,6 +802,7 @@
     result["vms"] = m_state->components.fleet.members(now);
     result["quarantined_requests"] = m_state->components.quarantine.active(now).size();
     result["hub"] = m_state->components.fleet.isHub();
+    result["evacuations"] = m_state->components.evacuated.inForce();
     return result;
 }
 
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -24,6 +24,7 @@
             {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
             {"endpoint_pauses", pauses},
+            {"evacuations_ignored", evacuationsIgnored},
             {"proxied_dispatches", proxiedDispatches},
             {"beats_sent", heartbeatsSent},
             {"beats_received", heartbeatsReceived},
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -30,6 +30,7 @@
     std::uint64_t endpointCrashes = 0; // Endpoints that ended while they were answering, as seen by this VM.
     std::uint64_t proxiedDispatches = 0; // Dispatches through another VM.
     std::uint64_t pauses = 0; // Pauses that endpoints asked this VM for.
+    std::uint64_t evacuationsIgnored = 0; // Records of evacuations that were ignored because too many data centres have one.
     latency_summary plainAnswer;
     latency_summary firstEvent;
     latency_summary placementWait; // Time that requests wait for a place.
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -170,6 +170,12 @@
     return tokens.prompt + static_cast<std::int64_t>(speeds.heldOutputFraction * static_cast<double>(output));
 }
 
+std::vector<endpoint_entry *> withoutEvacuated(std::vector<endpoint_entry *> endpoints)
+{
+    std::erase_if(endpoints, [](const auto *endpoint) { return endpoint->isEvacuated(); });
+    return endpoints;
+}
+
 duration readingTime(std::int64_t tokens, double tokensPerMs)
 {
     return fromMs(readingMs(tokens, tokensPerMs));
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -42,6 +42,9 @@
 // Returns the least loaded endpoint of a plain service, or null when all are full.
 endpoint_entry *choosePlain(const std::vector<endpoint_entry *> &candidates, const placement_context &context);
 
+// Returns the endpoints whose data centres are not evacuated. They are chosen before the others.
+std::vector<endpoint_entry *> withoutEvacuated(std::vector<endpoint_entry *> endpoints);
+
 struct model_placement {
     endpoint_entry *prefill = nullptr; // When it is null, the decode endpoint reads the prompt.
     endpoint_entry *decode = nullptr;
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -11,6 +11,7 @@
 
 #include "endpoint_directory.hpp"
 #include "endpoint_ways.hpp"
+#include "evacuations.hpp"
 #include "event_splitter.hpp"
 #include "fleet_limiter.hpp"
 #include "fleet_view.hpp"
@@ -43,6 +44,7 @@
     engine_speeds speeds;
     std::shared_ptr<const route_table> routes; // It is null until a configuration is known.
     endpoint_directory endpoints;
+    evacuations evacuated;
     fleet_view fleet;
     endpoint_ways ways;
     fleet_limiter limiter;
@@ -182,6 +184,10 @@
     bool maySend(attempt_number number);
     // Refuses the requests that no endpoint has had.
     void refuseWaiting(std::string_view detail);
+    // Refuses the requests that wait for endpoints whose data centres are all evacuated.
+    void refuseEvacuated();
+    // Places the requests that waited because no endpoint was to get one.
+    void placeHeld();
     // Answers every open request with a failure.
     void failAll(std::string_view detail);
     std::size_t open() const { return m_entries.size(); }
@@ -215,6 +221,8 @@
     void enqueueOrRefuse(relay_entry &entry);
     bool refusePaused(relay_entry &entry);
     bool refuseIsolated(relay_entry &entry);
+    bool refuseEvacuated(relay_entry &entry);
+    void releasePrefill(prefill_source source);
     void refuseOverloaded(relay_entry &entry, duration expected, std::string_view detail);
     bool askHub(relay_entry &entry);
     void onAskOverdue(relay_entry &entry);
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -66,6 +66,7 @@
 
     void configure(const relay_config &config)
     {
+        core.handle(evacuations_read{}); // The reader reports them before the configuration.
         core.handle(configuration_read{std::make_shared<const relay_config>(config)});
         if (!std::exchange(configured, true)) {
             clock.advance(std::chrono::seconds{1}); // The limits of the accounts fill in this time.
--- a/test/relay_options_test.cpp
+++ b/test/relay_options_test.cpp
@@ -53,4 +53,19 @@
     BOOST_TEST((load("")->core.grace == milliseconds{8000}));
 }
 
+// Guards against a bound in another unit, and against a VM that does not start because the platform has no value for the placeholder.
+BOOST_AUTO_TEST_CASE(theBoundOfEvacuationsIsReadInMilliseconds)
+{
+    const auto boundOf = [&](const std::string &value) {
+        const auto options = load("evacuation:\n  bound_ms: " + value + '\n');
+        return options.ok() ? options->core.evacuationBound : duration{};
+    };
+    BOOST_TEST((boundOf("7000") == milliseconds{7000}));
+    BOOST_TEST((boundOf("\"7000\"") == milliseconds{7000}));
+    for (const auto *value : {"", "\"\"", "\"null\"", "null", "\"{{bounds.evac_ms|json}}\""}) {
+        BOOST_TEST((boundOf(value) == milliseconds{5000}), value);
+    }
+    BOOST_TEST((load("")->core.evacuationBound == milliseconds{5000}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -32,6 +32,9 @@
     std::vector<stream_record> streams;
     std::vector<stream_origin> defaults; // In the order in which they were set.
     std::uint64_t reads = 0;
+    // Records of the operator: the data centre, and whether the record evacuates it or was deleted.
+    std::vector<std::pair<data_centre_name, bool>> operatorLog;
+    std::uint64_t operatorEra = 1;
 };
 
 class simulated_fleet
@@ -65,6 +68,17 @@
         std::vector<relay_dispatch> dispatches;
         std::vector<answer_failure> failures;
         std::size_t streamsNext = 0; // Next record of a stream to read.
+        struct known_evacuation {
+            bool inForce = false;
+            std::uint64_t position = 0;
+            std::optional<time_point> since;
+        };
+        // What the VM's directory reader holds of the operator's records.
+        std::map<data_centre_name, known_evacuation> evacuations;
+        std::uint64_t operatorNext = 0;
+        std::uint64_t operatorEra = 0; // Zero if none was read.
+        time_point readStartedAt{};
+        std::optional<time_point> operatorReadAt; // Start of the last read that succeeded.
     };
 
     explicit simulated_fleet(settings fleetSettings)
@@ -138,6 +152,15 @@
     void announce(const relay_endpoint &endpoint, bool change = true) { directory.log.push_back({endpoint.name, endpoint, change}); }
     void withdraw(const std::string &name) { directory.log.push_back({{name}, std::nullopt, true}); }
 
+    // Writes a record of the operator that evacuates a data centre, or deletes it.
+    void evacuate(const std::string &dataCentre, bool inForce = true) { directory.operatorLog.emplace_back(data_centre_name{dataCentre}, inForce); }
+    // The directory comes back from a copy that holds the first records of the operator.
+    void restoreOperatorLog(std::size_t size)
+    {
+        directory.operatorLog.resize(size);
+        ++directory.operatorEra;
+    }
+
     // Hands a plain request to a VM.
     caller_id submit(std::size_t index, const std::string &target, const std::string &body = {}, const std::string &key = "k-acme")
     {
@@ -406,6 +429,7 @@
         ++directory.reads; // One call for the configuration and one for the endpoints.
         auto &each = vms[index];
         each.next = each.loaded ? std::max(each.next, command.position) : 0;
+        each.readStartedAt = m_clock.now();
         schedule(milliseconds{4}, [this, index, core = each.core.get()] { finishRead(index, core); });
     }
     void on(std::size_t index, read_members & /*command*/)
@@ -430,9 +454,11 @@
         schedule(milliseconds{5}, [this, index, sender] {
             const auto &from = vms[sender];
             auto &to = vms[index];
-            if (!from.core || !to.core || !from.loaded || (to.loaded && from.next <= to.next && from.configNext <= to.configNext)) {
+            const bool isBehind = from.next > to.next || from.configNext > to.configNext || to.operatorEra == 0;
+            if (!from.core || !to.core || !from.loaded || (to.loaded && !isBehind)) {
                 return;
             }
+            importEvacuations(index, from);
             // The whole state weighs about 300 bytes an endpoint.
             constexpr std::uint64_t entrySize = 300;
             vms[index].bytes += entrySize * from.next;
@@ -548,6 +574,9 @@
             return;
         }
         const bool succeeded = !directoryDown && !each.cutFromDirectory;
+        if (succeeded) {
+            readOperatorLog(index);
+        }
         if (succeeded && !each.loaded) {
             load(index, directory.log.size(), directory.configs.size(), false);
         } else if (succeeded) {
@@ -582,6 +611,82 @@
         collect(index);
     }
 
+    static std::uint64_t operatorPosition(std::uint64_t era, std::uint64_t offset) { return era << 40U | offset; }
+
+    static void applyEvacuation(vm &each, const data_centre_name &dataCentre, bool inForce, std::uint64_t position, std::optional<time_point> since)
+    {
+        auto &known = each.evacuations[dataCentre];
+        if (position < known.position) {
+            return;
+        }
+        known.position = position;
+        if (known.inForce != inForce) {
+            known.inForce = inForce;
+            known.since = since;
+        }
+    }
+
+    void reportEvacuations(std::size_t index, std::uint64_t completeTo)
+    {
+        auto &each = vms[index];
+        evacuations_read read{.completeFrom = completeTo > 0 ? operatorPosition(each.operatorEra, 0) : 0, .completeTo = completeTo};
+        for (const auto &[dataCentre, known] : each.evacuations) {
+            read.evacuations.push_back({dataCentre, known.inForce, known.position, known.since ? m_clock.now() - *known.since : duration::max()});
+        }
+        each.core->handle(std::move(read));
+    }
+
+    // Reads the operator's records as a whole at first and in a new era, and otherwise those that were written since.
+    void readOperatorLog(std::size_t index)
+    {
+        auto &each = vms[index];
+        const auto &log = directory.operatorLog;
+        const auto era = directory.operatorEra;
+        if (each.operatorEra != era) {
+            std::map<data_centre_name, bool> newest;
+            for (const auto &[dataCentre, inForce] : log) {
+                newest[dataCentre] = inForce;
+            }
+            const auto end = operatorPosition(era, log.size());
+            for (auto &[dataCentre, known] : each.evacuations) {
+                if (known.inForce && known.position >> 40U == era && known.position < end && !newest[dataCentre]) {
+                    known = {false, end, std::nullopt};
+                }
+            }
+            each.operatorEra = era;
+            for (const auto &[dataCentre, inForce] : newest) {
+                if (inForce) {
+                    applyEvacuation(each, dataCentre, true, end, each.operatorReadAt);
+                }
+            }
+            each.operatorNext = log.size();
+            reportEvacuations(index, end);
+        } else if (each.operatorNext < log.size()) {
+            for (; each.operatorNext < log.size(); ++each.operatorNext) {
+                const auto &[dataCentre, inForce] = log[each.operatorNext];
+                applyEvacuation(each, dataCentre, inForce, operatorPosition(era, each.operatorNext + 1), each.operatorReadAt);
+            }
+            reportEvacuations(index, 0);
+        }
+        each.operatorReadAt = each.readStartedAt;
+    }
+
+    // Takes over what the directory reader of another VM holds of the operator's records.
+    void importEvacuations(std::size_t index, const vm &from)
+    {
+        auto &to = vms[index];
+        for (const auto &[dataCentre, known] : from.evacuations) {
+            applyEvacuation(to, dataCentre, known.inForce, known.position, known.since);
+        }
+        if (operatorPosition(from.operatorEra, from.operatorNext) > operatorPosition(to.operatorEra, to.operatorNext)) {
+            to.operatorEra = from.operatorEra;
+            to.operatorNext = from.operatorNext;
+        }
+        if (from.operatorEra > 0) {
+            reportEvacuations(index, 0);
+        }
+    }
+
     void applyConfig(std::size_t index, std::uint64_t configNext)
     {
         auto &each = vms[index];
