--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -25,6 +25,7 @@
             {"endpoint_refusals", notRun},
             {"endpoint_pauses", pauses},
             {"limit_waits", limitWaits},
+            {"evacuations_ignored", evacuationsIgnored},
             {"proxied_dispatches", proxiedDispatches},
             {"beats_sent", heartbeatsSent},
             {"beats_received", heartbeatsReceived},
