Place by work time, reports of load and learnt speed

Callers saw endpoints overloaded in turn while others were idle: VMs counted requests, and used nothing of what endpoints report but a queue as long as their slots.

Cause: the work time of a machine was not read, reports of running and waiting requests were dropped, counts of other data centres had full weight at any age, and engines of different speed got equal numbers.

Change: the whole load report is read, or none of it. endpoint_load_estimate keeps the last report with its time and lets it lose weight; the cost of a plain endpoint is its expected load times its work time, and one without a free slot comes after those with one. Engines are chosen by work time and by a speed that the placing VM learns by Little's law. Work times pass between VMs as element 4 of a load, in messages that are sent anyway. Endpoints that report no load are chosen as before.

The suites even_load, relay_core, platform codec and endpoint terms codec pass.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -87,6 +87,7 @@
     bool leaving = false; // It ends soon and wants no further requests from any VM.
     std::optional<duration> pause; // It wants no requests from this VM for this time.
     std::optional<duration> coldLeft; // It stays cold for this time.
+    bool loadUnreadable = false; // It reports its load with figures that cannot be read.
 };
 
 // Complete answer that is not a stream of events.
@@ -107,6 +108,7 @@
     attempt_number attempt = 0;
     std::string handle;
     std::optional<endpoint_statement> statement;
+    std::optional<reported_load> load;
 };
 
 // How the end of an answer is marked.
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -127,7 +127,11 @@
 {
     json out{encodeList(message.loads,
                         [](const auto &load) {
-                            return json{load.endpoint.value, load.running, load.prefillTokens, load.kvTokens};
+                            json out{load.endpoint.value, load.running, load.prefillTokens, load.kvTokens};
+                            if (load.workTimePercent) {
+                                out.push_back(*load.workTimePercent);
+                            }
+                            return out;
                         }),
              encodeList(message.waiting,
                         [](const auto &waiting) {
@@ -147,10 +151,17 @@
 void decodeTotals(const json &in, Message &message)
 {
     message.loads = decodeList<endpoint_load>(in.at(0), [](const json &load) {
-        return endpoint_load{{load.at(0).get<std::string>()},
-                             wholeNumber<std::int32_t>(load.at(1)),
-                             wholeNumber<std::int64_t>(load.at(2)),
-                             wholeNumber<std::int64_t>(load.at(3))};
+        endpoint_load out{{load.at(0).get<std::string>()},
+                          wholeNumber<std::int32_t>(load.at(1)),
+                          wholeNumber<std::int64_t>(load.at(2)),
+                          wholeNumber<std::int64_t>(load.at(3)),
+                          {}};
+        // VMs that have heard no work time lately, or of an earlier version, send none.
+        constexpr std::size_t workTimeIndex = 4;
+        if (load.size() > workTimeIndex) {
+            out.workTimePercent = wholeNumber<std::int32_t>(load.at(workTimeIndex));
+        }
+        return out;
     });
     message.waiting = decodeList<waiting_count>(in.at(1), [](const json &waiting) {
         return waiting_count{{waiting.at(0).get<std::string>()}, wholeNumber<std::int32_t>(waiting.at(1))};
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -161,7 +161,7 @@
         } else if (m_streaming) {
             m_client.m_sink(relay_attempt_ended{m_reply.attempt, reply_outcome::Complete});
         } else if (auto handle = prefillHandle()) {
-            m_client.m_sink(prefill_reply{m_reply.attempt, std::move(*handle), m_reply.statement});
+            m_client.m_sink(prefill_reply{m_reply.attempt, std::move(*handle), m_reply.statement, m_reply.load});
         } else {
             m_client.m_sink(std::move(m_reply));
         }
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -142,6 +142,8 @@
     const bool changed = restarted || entry.info != info || entry.withdrawnAt;
     if (restarted) {
         entry.endpointStatistics = {};
+        entry.loadEstimate.onRestarted();
+        entry.holdTime = {};
         entry.downUntil = {};
         entry.downTime = {};
         entry.wayLost = false;
@@ -350,12 +352,15 @@
     return out;
 }
 
-std::vector<endpoint_load> endpoint_directory::ownLoads() const
+std::vector<endpoint_load> endpoint_directory::ownLoads(time_point now) const
 {
     std::vector<endpoint_load> out;
     for (const auto &[name, entry] : m_entries) {
-        if (!entry.open.empty()) {
+        const auto &workTime = entry.loadEstimate.workTime();
+        const auto percent = workTime ? workTime->shared(now) : std::nullopt;
+        if (!entry.open.empty() || percent) {
             out.push_back(entry.ownLoad());
+            out.back().workTimePercent = percent;
         }
     }
     return out;
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -7,6 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "endpoint_load_estimate.hpp"
+#include "hold_time_estimate.hpp"
 #include "leaving_runs.hpp"
 #include "plantainpoint/clock.hpp"
 #include "plantainpoint/relay.hpp"
@@ -57,6 +59,8 @@
 struct endpoint_entry {
     relay_endpoint info;
     endpoint_statistics endpointStatistics;
+    endpoint_load_estimate loadEstimate;
+    hold_time_estimate holdTime; // Of the requests that this VM places, its own and those of others.
     std::unordered_map<attempt_number, open_work> open;
     std::optional<time_point> lastSentAt; // Time of this VM's last dispatch to it.
     endpoint_outcomes unreported; // Outcomes that no heartbeat has reported yet.
@@ -140,8 +144,8 @@
     bool hasService(const service_name &service, time_point now) const;
     // Returns whether an endpoint that can serve has the version.
     bool hasVersion(const service_name &service, const software_version &version, time_point now) const;
-    // Returns the open work of this VM for the heartbeat.
-    std::vector<endpoint_load> ownLoads() const;
+    // Returns the open work of this VM for the heartbeat, and the work times that it has heard lately.
+    std::vector<endpoint_load> ownLoads(time_point now) const;
     // Returns the outcomes since the last call.
     std::vector<endpoint_outcomes> takeOutcomes();
     // Returns the listed endpoints that accept no work from this VM.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -21,6 +21,18 @@
 constexpr auto totalsTimeout = std::chrono::milliseconds{450};
 constexpr auto sourceTimeout = std::chrono::milliseconds{200}; // Time without totals after which those of the other hub are used.
 
+// Returns whether two lists have the same work. Work times are sent with messages that are due, and make none due.
+bool hasSameWork(std::vector<endpoint_load> first, std::vector<endpoint_load> second)
+{
+    for (auto *const loads : {&first, &second}) {
+        std::erase_if(*loads, [](const auto &load) { return load.running == 0; });
+        for (auto &load : *loads) {
+            load.workTimePercent.reset();
+        }
+    }
+    return first == second;
+}
+
 std::string grantSource(const place_key &key)
 {
     return key.vm.value + '#' + std::to_string(key.number);
@@ -57,6 +69,7 @@
     peer.heartbeatAt = now;
     peer.leaving = heartbeatMessage.leaving;
     m_direct.set(heartbeatMessage.from.vm.value, heartbeatMessage.loads, heartbeatMessage.waiting);
+    m_directWorkTimes.on(heartbeatMessage.loads, now);
     auto &source = m_directSources[heartbeatMessage.from.vm];
     removeGrants(heartbeatMessage.from.vm, source, arrival.restarted ? std::numeric_limits<std::uint64_t>::max() : heartbeatMessage.sequence);
     source.changingRole = heartbeatMessage.changingRole;
@@ -174,6 +187,7 @@
         addWaiting(waiting, own->content->waiting, -1);
     }
     m_remote.set(summary.dataCentre.value, loads, waiting);
+    m_remoteWorkTimes.on(summary.loads, now);
 }
 
 // Returns the admissions to be debited. Those of a hub whose totals are not used are kept until its totals are used in place of the other
@@ -250,6 +264,8 @@
             source.changingRole.clear();
         }
     }
+    m_directWorkTimes.expire(now);
+    m_remoteWorkTimes.expire(now);
     std::erase_if(m_peerHubs, [&](const auto &hubAndTime) { return now - hubAndTime.second >= vmSilenceTimeout; });
 }
 
@@ -277,7 +293,7 @@
     receivers.insert(receivers.end(), selection.probes.begin(), selection.probes.end());
     if (!m_sentHeartbeats.empty()) {
         const auto &last = *m_sentHeartbeats.back().content;
-        const bool unchanged = last.loads == report.loads && last.waiting == report.waiting && last.changingRole == report.changingRole
+        const bool unchanged = hasSameWork(last.loads, report.loads) && last.waiting == report.waiting && last.changingRole == report.changingRole
                                && last.usage == report.usage && last.leaving == m_leaving && report.evidence.crashes.empty() && report.evidence.answered.empty()
                                && report.limits.empty() && report.leavingEndpoints.empty() && last.follows == m_follows && receivers == m_lastReceivers;
         if (unchanged && now - m_lastHeartbeatAt < idleHeartbeatInterval) {
@@ -420,6 +436,7 @@
         summary->loads = report.loads;
         summary->waiting = report.waiting;
         m_direct.addTo(summary->loads, summary->waiting);
+        m_directWorkTimes.addTo(summary->loads, now);
     }
     for (const auto &[vm, source] : m_directSources) {
         summary->changingRole.insert(summary->changingRole.end(), source.changingRole.begin(), source.changingRole.end());
@@ -432,6 +449,7 @@
     }
     if (withLoads) {
         m_remote.addTo(summary->loads, summary->waiting);
+        m_remoteWorkTimes.addTo(summary->loads, now);
     }
     for (const auto &[dataCentre, source] : m_remoteSources) {
         summary->changingRole.insert(summary->changingRole.end(), source.changingRole.begin(), source.changingRole.end());
@@ -598,7 +616,23 @@
         load.kvTokens += direct.kvTokens;
     }
     // Sums of reports of different age can be negative for a moment.
-    return {endpoint, std::max(load.running, 0), std::max<std::int64_t>(load.prefillTokens, 0), std::max<std::int64_t>(load.kvTokens, 0)};
+    return {endpoint, std::max(load.running, 0), std::max<std::int64_t>(load.prefillTokens, 0), std::max<std::int64_t>(load.kvTokens, 0), {}};
+}
+
+duration fleet_view::totalsAge(time_point now) const
+{
+    duration oldest{};
+    for (const auto &[dataCentre, source] : m_remoteSources) {
+        if (now - source.receivedAt < vmSilenceTimeout) {
+            oldest = std::max(oldest, now - source.receivedAt);
+        }
+    }
+    return oldest;
+}
+
+std::optional<work_time_reading> fleet_view::workTimeAt(const endpoint_name &endpoint, time_point now) const
+{
+    return newestReading(m_directWorkTimes.at(endpoint), m_remoteWorkTimes.at(endpoint), now);
 }
 
 // The requests of this data centre wait at its hub.
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -13,6 +13,7 @@
 #include "fleet_totals.hpp"
 #include "plantainpoint/clock.hpp"
 #include "plantainpoint/relay.hpp"
+#include "work_time_reports.hpp"
 
 namespace plantainpoint {
 
@@ -105,6 +106,12 @@
     // Return the load that the other VMs put on an endpoint, and the requests that wait for a service and are not queued here.
     endpoint_load loadAt(const endpoint_name &endpoint) const;
     std::int32_t waitingElsewhere(const service_name &service) const;
+    // Returns the requests that this VM as a hub has placed at an endpoint for other VMs.
+    std::int32_t placedAt(const endpoint_name &endpoint) const { return m_isHub ? std::max(m_direct.loadAt(endpoint).running, 0) : 0; }
+    // Returns the age of the oldest totals that count in loadAt() beside the work that is placed here.
+    duration totalsAge(time_point now) const;
+    // Returns the work time of an endpoint that another VM has heard last, or nothing if that is too long ago.
+    std::optional<work_time_reading> workTimeAt(const endpoint_name &endpoint, time_point now) const;
 
 private:
     // Totals of another data centre, or of the whole fleet at a VM that follows a hub.
@@ -170,6 +177,8 @@
     fleet_members m_members;
     fleet_totals m_direct; // From heartbeats of this data centre.
     fleet_totals m_remote; // From summaries.
+    work_time_reports m_directWorkTimes; // From heartbeats of this data centre.
+    work_time_reports m_remoteWorkTimes; // From summaries.
     std::map<vm_name, direct_source> m_directSources;
     std::map<data_centre_name, remote_source> m_remoteSources;
     std::map<vm_name, usage_source> m_usageSources; // By hub.
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -36,7 +36,7 @@
         m_fleet, m_dataCentre, m_speeds, now, request.excluded, request.maxEventGap, request.version, request.owner.isLocal(), request.seed};
     if (!request.engine || !request.tokens) {
         auto *const endpoint = choosePlain(plainCandidates(request.service, now), context);
-        return endpoint == nullptr ? std::nullopt : std::optional(model_placement{nullptr, endpoint, {}});
+        return endpoint == nullptr ? std::nullopt : std::optional(model_placement{nullptr, endpoint, {}, knowledgeOf(*endpoint, context)});
     }
     const auto decodes = m_endpoints.candidates(request.service, endpoint_role::Decode, now);
     const auto prefills = request.mayPrefill ? m_endpoints.candidates(request.service, endpoint_role::Prefill, now) : std::vector<endpoint_entry *>{};
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -299,6 +299,8 @@
     const auto placement = m_components.placement.choose(request, now);
     if (placement) {
         placement->takePermits(now);
+        recordChoice(*placement);
+        entry.knowledge = nameOf(placement->knowledge);
         apply(entry, *placement);
     }
     return placement.has_value();
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -131,6 +131,7 @@
     m_components.metrics.placementWait.add(now - entry.arrivedAt);
     const bool hasVersion = placement.decode != nullptr && (!entry.version || placement.decode->info.version == *entry.version);
     if (now < entry.deadline && !m_components.ways.isIsolated(now) && hasVersion && (grant.prefill.empty() || placement.prefill != nullptr)) {
+        entry.knowledge = "hub";
         apply(entry, placement);
         scheduleWakeup(entry);
     } else if (place(entry)) {
@@ -202,6 +203,7 @@
         answer.prefill = placement.prefill->info.name;
     }
     placement.takePermits(m_components.clock.now());
+    recordChoice(placement);
     m_components.fleet.onGrant({request.owner.vm, request.owner.number, request.owner.heartbeat}, loads);
     answerAsk(request.owner, std::move(answer));
 }
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -250,13 +250,34 @@
     }
 }
 
-// Avoids a full endpoint for a moment. Its report is newer than the heartbeats of the other VMs.
-void relay_requests::recordReportedLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load)
+// Records what an endpoint reports of its load, and avoids a full one for a moment. The report is newer than the heartbeats of the other VMs. An endpoint
+// does not count a request that it has answered in whole.
+void relay_requests::recordReportedLoad(const relay_attempt &attempt, const std::optional<reported_load> &load, bool isWhole)
 {
     constexpr duration fullBackoff = milliseconds{25};
-    auto *const entry = m_components.endpoints.find(endpoint);
-    if (entry != nullptr && load && load->waiting >= entry->info.slots) {
-        entry->fullUntil = m_components.clock.now() + fullBackoff;
+    auto *const entry = m_components.endpoints.find(attempt.endpoint);
+    if (entry == nullptr || !load || entry->info.startedAt != attempt.endpointStartedAt) {
+        return;
+    }
+    const auto now = m_components.clock.now();
+    const auto own = static_cast<std::int32_t>(entry->open.size()) - (isWhole && entry->open.contains(attempt.number) ? 1 : 0);
+    entry->loadEstimate.onReport(*load, own + m_components.fleet.loadAt(attempt.endpoint).running, now);
+    if (load->waiting >= entry->info.slots) {
+        entry->fullUntil = now + fullBackoff;
+    }
+}
+
+// Counts reports of load that cannot be read, with a line now and then.
+void relay_requests::recordUnreadableLoad(const endpoint_name &endpoint, time_point now)
+{
+    constexpr duration logInterval = std::chrono::seconds{10};
+    const auto count = ++m_components.metrics.unreadableLoadReports;
+    if (now >= m_nextUnreadableLoadLine) {
+        m_nextUnreadableLoadLine = now + logInterval;
+        m_components.logMessage(severity::Warning,
+                                log_component::Monitor,
+                                "endpoint=" + endpoint.value
+                                    + " reports its load with figures that cannot be read unreadable_load_reports=" + std::to_string(count));
     }
 }
 
@@ -275,6 +296,9 @@
         const auto limit = endpoints.find(attempt.endpoint)->limit.perSecond();
         log(limit ? " limit_per_s=" + std::to_string(*limit) : " names no limit any more");
     }
+    if (statement->loadUnreadable) {
+        recordUnreadableLoad(attempt.endpoint, now);
+    }
     if (statement->leaving && endpoints.onLeaving({attempt.endpoint, attempt.endpointStartedAt}, now)) {
         log(" says that it leaves started_at=" + std::to_string(attempt.endpointStartedAt));
     }
@@ -410,6 +434,7 @@
     }
     recordHeard(*entry->attempt);
     recordStatement(*entry->attempt, reply.statement);
+    recordReportedLoad(*entry->attempt, reply.load, true);
     recordAttemptOutcome(*entry, true);
     const auto *const prefill = m_components.endpoints.find(entry->attempt->endpoint);
     const auto address = prefill != nullptr ? prefill->info.address : std::string{};
@@ -458,11 +483,11 @@
     auto &attempt = isOverdue(*entry, head.attempt) ? *entry->overdueAttempt : *entry->attempt;
     recordHeard(attempt);
     recordStatement(attempt, head.statement);
+    recordReportedLoad(attempt, head.load, false);
     if (entry->headSent && mediaTypeOf(head.headers) != entry->mediaType) {
         breakOff(*entry, head.attempt);
         return;
     }
-    recordReportedLoad(attempt.endpoint, head.load);
     attempt.framing = head.framing;
     attempt.headAt = m_components.clock.now();
     attempt.heldHead = std::move(head);
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -326,7 +326,7 @@
                                     .lastChange = directoryState.lastChange,
                                     .proofAge = follower.proofAge(now),
                                     .reannounceLeft = components.endpoints.reannounceLeft(now)},
-                      .loads = components.endpoints.ownLoads(),
+                      .loads = components.endpoints.ownLoads(now),
                       .waiting = requests.waitingByService(),
                       .changingRole = components.planner.ordered(components.endpoints, now),
                       .usage = components.limiter.usage(),
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -24,6 +24,8 @@
             {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
             {"endpoint_pauses", pauses},
+            {"choices", choices},
+            {"unreadable_load_reports", unreadableLoadReports},
             {"proxied_dispatches", proxiedDispatches},
             {"beats_sent", heartbeatsSent},
             {"beats_received", heartbeatsReceived},
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -29,6 +29,8 @@
     std::uint64_t asksAnswered = 0; // Asks of other VMs.
     std::uint64_t endpointCrashes = 0; // Endpoints that ended while they were answering, as seen by this VM.
     std::uint64_t proxiedDispatches = 0; // Dispatches through another VM.
+    std::map<std::string, std::uint64_t, std::less<>> choices; // Places that this VM chose, by what it knew of the load.
+    std::uint64_t unreadableLoadReports = 0; // Answers whose figures of the endpoint's load made no sense.
     std::uint64_t pauses = 0; // Pauses that endpoints asked this VM for.
     latency_summary plainAnswer;
     latency_summary firstEvent;
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -69,6 +69,7 @@
     const auto &answered = isOverdue(*entry, reply.attempt) ? *entry->overdueAttempt : *entry->attempt;
     recordHeard(answered);
     recordStatement(answered, reply.statement);
+    recordReportedLoad(answered, reply.load, true);
     if (isOverdue(*entry, reply.attempt)) {
         // A stream that has begun has no other answer than its events.
         if (reply.notRun || reply.wrongEndpoint || !reply.genuine || entry->headSent) {
@@ -77,7 +78,6 @@
         }
         keepAttempt(*entry, reply.attempt);
     }
-    recordReportedLoad(entry->attempt->endpoint, reply.load);
     if (reply.notRun || reply.wrongEndpoint) {
         ++m_components.metrics.notRun;
         onNotRun(*entry, reply);
@@ -494,6 +494,7 @@
     }
     if (entry.placedAt) {
         text += " placed_ms=" + millisText(*entry.placedAt - entry.arrivedAt);
+        text += entry.knowledge.empty() ? "" : " load=" + std::string(entry.knowledge);
     }
     text += " config=" + std::to_string(entry.table->version()) + " directory=" + std::to_string(m_components.endpoints.position());
     m_components.logMessage(severity::Info, log_component::Http, std::move(text));
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -1,8 +1,11 @@
 // Selection of the endpoint that takes a request, from the directory and the open work of the fleet.
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include "endpoint_directory.hpp"
@@ -39,6 +42,21 @@
     std::uint64_t spreadSeed = 0;
 };
 
+// What the estimate of an endpoint's load rested on when it was chosen.
+enum class load_knowledge : std::uint8_t {
+    Counts, // Requests that the VMs count.
+    Report, // A report of the endpoint to this VM as well.
+    Heard, // A work time that another VM has passed on as well.
+};
+
+constexpr std::string_view nameOf(load_knowledge value)
+{
+    constexpr std::array names{std::string_view{"counts"}, std::string_view{"report"}, std::string_view{"heard"}};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+load_knowledge knowledgeOf(const endpoint_entry &entry, const placement_context &context);
+
 // Returns the least loaded endpoint of a plain service, or null when all are full.
 endpoint_entry *choosePlain(const std::vector<endpoint_entry *> &candidates, const placement_context &context);
 
@@ -46,13 +64,15 @@
     endpoint_entry *prefill = nullptr; // When it is null, the decode endpoint reads the prompt.
     endpoint_entry *decode = nullptr;
     duration expected{}; // Expected time to the first event.
+    load_knowledge knowledge = load_knowledge::Counts; // Of the serving endpoint.
 
-    // Counts the requests against the limits that the endpoints name.
+    // Counts the requests against the limits that the endpoints name, and among those that this VM has placed.
     void takePermits(time_point now) const
     {
         for (auto *endpoint : {prefill, decode}) {
             if (endpoint != nullptr) {
                 endpoint->pace.take(now);
+                endpoint->holdTime.onPlaced(now);
             }
         }
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -119,6 +119,7 @@
     time_point lastPartAt{}; // Time of the last whole event.
     duration longestGap{}; // Longest pause between two events.
     std::optional<std::uint64_t> lastEventId; // Last event that the caller has.
+    std::string_view knowledge; // What the choice of its last place rested on. Empty if it had none.
     bool headSent = false;
     std::string mediaType; // Of the head that the caller has.
     std::optional<software_version> version; // Version that began the stream, which no other one may go on with.
@@ -210,6 +211,7 @@
     static bool isModelRequest(const relay_entry &entry);
     placement_request placementRequestOf(const relay_entry &entry) const;
     bool place(relay_entry &entry);
+    void recordChoice(const model_placement &placement) { ++m_components.metrics.choices[std::string(nameOf(placement.knowledge))]; }
     void apply(relay_entry &entry, const model_placement &placement);
     void placeOrWait(relay_entry &entry);
     void enqueueOrRefuse(relay_entry &entry);
@@ -250,7 +252,8 @@
     void releaseReservation(relay_entry &entry);
     void releaseSource(relay_entry &entry);
     void recoverSource(relay_entry &entry, std::optional<prefill_source> source);
-    void recordReportedLoad(const endpoint_name &endpoint, const std::optional<reported_load> &load);
+    void recordReportedLoad(const relay_attempt &attempt, const std::optional<reported_load> &load, bool isWhole);
+    void recordUnreadableLoad(const endpoint_name &endpoint, time_point now);
     void recordStatement(const relay_attempt &attempt, const std::optional<endpoint_statement> &statement);
     void recordHoldTime(const relay_entry &entry);
     void recordAttemptOutcome(const relay_entry &entry, bool succeeded);
@@ -319,6 +322,7 @@
     bool m_readOpen = false;
     bool m_readsDefaults = false; // The next read includes the default versions.
     time_point m_nextDefaultsRead{};
+    time_point m_nextUnreadableLoadLine{};
 };
 
 } // namespace plantainpoint
--- a/test/endpoint_terms_codec_test.cpp
+++ b/test/endpoint_terms_codec_test.cpp
@@ -57,6 +57,25 @@
     BOOST_TEST(std::get<fleet_heartbeat>(*decoded).limits.empty());
 }
 
+// Guards against work times that the hubs do not learn, and against bytes for them where no endpoint states any.
+BOOST_AUTO_TEST_CASE(workTimesPassBetweenVmsAndCostNothingWithoutThem)
+{
+    auto heartbeatMessage = heartbeatWith({});
+    heartbeatMessage.loads = {{{"desk-1"}, 2, 30, 40, 250}, {{"desk-2"}, 1, 0, 0, {}}};
+    const auto bytes = encodeHeartbeat(heartbeatMessage);
+    const auto loads = nlohmann::json::from_cbor(bytes.substr(1)).at(7).at(0);
+    BOOST_TEST(loads.at(0).size() == 5);
+    BOOST_TEST(loads.at(1).size() == 4);
+    const auto decoded = decodeFleetMessage(bytes);
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST((std::get<fleet_heartbeat>(*decoded).loads == heartbeatMessage.loads));
+    auto summary = summaryWith({});
+    summary.loads = heartbeatMessage.loads;
+    const auto decodedSummary = decodeFleetMessage(encodeSummary(encodeSummaryBody(summary), 1, 1));
+    BOOST_REQUIRE(decodedSummary.ok());
+    BOOST_TEST((std::get<fleet_summary>(*decodedSummary).loads == summary.loads));
+}
+
 BOOST_AUTO_TEST_CASE(malformedLimitsAreRefused)
 {
     for (const double value : {-1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -358,6 +358,53 @@
     BOOST_TEST(!dialect.belongs(fieldsOf({{"X-Request-Id", "id-2"}}), "id-1"));
 }
 
+// Guards against a figure of a worker's load being missed, and against a report with figures that make no sense being used in part.
+BOOST_AUTO_TEST_CASE(aWorkersLoadReportIsReadWholeOrNotAtAll)
+{
+    const auto traitsOf = [](const std::string &value) {
+        return worker_dialect{}.traits(200, fieldsOf({{"X-Request-Id", "id-1"}, {"X-Load-Report", value}}), "id-1");
+    };
+    for (const std::string value : {"3,1,8,250", "3, 1, 8, 249.6", " 3,1,8,250 "}) {
+        const auto traits = traitsOf(value);
+        BOOST_REQUIRE_MESSAGE(traits.load, value);
+        BOOST_TEST(traits.load->running == 3);
+        BOOST_TEST(traits.load->waiting == 1);
+        BOOST_TEST(traits.load->slots.value_or(0) == 8);
+        BOOST_TEST(traits.load->workTimePercent.value_or(0) == 250);
+        BOOST_TEST(!traits.statement->loadUnreadable);
+    }
+    BOOST_TEST(!traitsOf("3,1,8").load->workTimePercent);
+    BOOST_TEST(!traitsOf("3,1,8").statement->loadUnreadable);
+    for (const std::string value : {"",
+                                    "3",
+                                    "x",
+                                    "3,1,",
+                                    ",,,",
+                                    "-1,0,8,100",
+                                    "3,-1,8,100",
+                                    "3,1,0,100",
+                                    "3,1,-8,100",
+                                    "3,1,8,0",
+                                    "3,1,8,-100",
+                                    "3,1,8,nan",
+                                    "-1,NaN,0,0",
+                                    "inf,1,8,100",
+                                    "3,1,8,inf",
+                                    "3,1,8,1e300",
+                                    "3.5,1,8,100",
+                                    "99999999999,1,8,100",
+                                    "3,1,8,100,1",
+                                    "1,2,3,4,5,6,7,8,9"}) {
+        const auto traits = traitsOf(value);
+        BOOST_TEST(!traits.load, value);
+        BOOST_TEST(traits.statement->loadUnreadable, value);
+    }
+    // An answer without a report says nothing of the load.
+    const auto silent = worker_dialect{}.traits(200, fieldsOf({{"X-Request-Id", "id-1"}}), "id-1");
+    BOOST_TEST(!silent.load);
+    BOOST_TEST(!silent.statement->loadUnreadable);
+}
+
 // Guards against a limit that a worker names being missed, and against a value that cannot be read setting or ending one.
 BOOST_AUTO_TEST_CASE(aWorkersLimitIsReadFromItsAnswers)
 {
