--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -26,6 +26,8 @@
             {"endpoint_pauses", pauses},
             {"limit_waits", limitWaits},
             {"evacuations_ignored", evacuationsIgnored},
+            {"choices", choices},
+            {"unreadable_load_reports", unreadableLoadReports},
             {"proxied_dispatches", proxiedDispatches},
             {"beats_sent", heartbeatsSent},
             {"beats_received", heartbeatsReceived},
