Hold requests after a suspension only where evacuations are expected

A VM that was suspended for over 1.5 s sent no request until it had read the directory, also in deployments whose platform knows no evacuations. The settings tell now: a bound of evacuations without a value means that there are none. The evacuations themselves are obeyed everywhere.

--- a/include/plantainpoint/relay_core.hpp
+++ b/include/plantainpoint/relay_core.hpp
@@ -25,6 +25,8 @@
     // Changes of the directory have to be known to every VM within this time.
     duration directoryBound = std::chrono::seconds{2};
     duration evacuationBound = std::chrono::seconds{5}; // No request may reach an endpoint so long after the evacuation of its data centre.
+    // The operator may evacuate data centres. A VM that was suspended then sends no request until it knows what it has missed.
+    bool evacuationsExpected = false;
     double retryRatio = 0.2; // Retries of the whole fleet per request of a service.
     // Further retries of the whole fleet within the window that the operator watches.
     double retrySlack = 50;
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -49,9 +49,11 @@
 {
     constexpr double minBound = 500;
     constexpr double maxBound = 600'000;
-    const auto defaultBound = std::chrono::duration<double, std::milli>(out.evacuationBound).count();
-    const std::chrono::duration<double, std::milli> bound(section.number("bound_ms", defaultBound, minBound, maxBound));
-    out.evacuationBound = std::chrono::duration_cast<duration>(bound);
+    const std::chrono::duration<double, std::milli> bound(section.number("bound_ms", 0, minBound, maxBound));
+    out.evacuationsExpected = bound.count() > 0;
+    if (out.evacuationsExpected) {
+        out.evacuationBound = std::chrono::duration_cast<duration>(bound);
+    }
     section.finish();
 }
 
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -208,7 +208,9 @@
         return;
     }
     resumedAt = now;
-    if (suspendedFor > components.settings.evacuationBound - components.settings.directoryBound - lateMessagesTime && components.fleet.members(now) > 1) {
+    const auto &settings = components.settings;
+    const bool mayHaveMissed = suspendedFor > settings.evacuationBound - settings.directoryBound - lateMessagesTime;
+    if (settings.evacuationsExpected && mayHaveMissed && components.fleet.members(now) > 1) {
         components.endpoints.hold(now + lateMessagesTime);
         wasHeld = true;
         catchUpReadAt.reset();
--- a/test/relay_options_test.cpp
+++ b/test/relay_options_test.cpp
@@ -91,6 +91,8 @@
         BOOST_TEST((boundOf(value) == milliseconds{5000}), value);
     }
     BOOST_TEST((load("")->core.evacuationBound == milliseconds{5000}));
+    BOOST_TEST(!load("")->core.evacuationsExpected);
+    BOOST_TEST(load("evacuation:\n  bound_ms: 5000\n")->core.evacuationsExpected);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -121,6 +121,7 @@
                                                                 .dataCentre = each.info.dataCentre,
                                                                 .peerAddress = each.info.address,
                                                                 .capacity = each.info.capacity,
+                                                                .evacuationsExpected = true,
                                                                 .limitTolerance = m_settings.limitTolerance,
                                                                 .directPrefillLimit = {}},
                                                  m_clock);
