State the figures of refusals for want of a place

A refusal said how long the wait would be, but not how long it could have been, nor whether places were free.

--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -67,7 +67,7 @@
     }
     const auto queue = m_waiting.find(request.service);
     const auto here = queue == m_waiting.end() ? 0 : static_cast<std::int64_t>(queue->second.size());
-    const auto bySlots = holdTime * (here + 1 + m_fleet.waitingElsewhere(request.service)) / slots;
+    const auto bySlots = holdTime * (1 + waitingFor(request.service)) / slots;
     if (!m_endpoints.hasLimits(request.service, now)) {
         return bySlots;
     }
@@ -86,7 +86,32 @@
     return queue != m_waiting.end() && !queue->second.empty() && m_endpoints.onlyLimited(service, now);
 }
 
-std::optional<duration> placer::enqueueOrRefuse(placement_request request, time_point now)
+std::string wait_refusal::text() const
+{
+    const auto millis = [](duration value) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()); };
+    return "expected_ms=" + millis(expected) + " longest_ms=" + millis(longest) + " places=" + std::to_string(places) + " taken=" + std::to_string(taken)
+           + " waiting=" + std::to_string(waiting);
+}
+
+// Returns the requests that wait for a place of the service, here and at other VMs.
+std::int64_t placer::waitingFor(const service_name &service) const
+{
+    const auto queue = m_waiting.find(service);
+    const auto here = queue == m_waiting.end() ? 0 : static_cast<std::int64_t>(queue->second.size());
+    return here + m_fleet.waitingElsewhere(service);
+}
+
+wait_refusal placer::refusalOf(const placement_request &request, duration expected, duration longest, time_point now) const
+{
+    wait_refusal out{.expected = expected, .longest = longest, .waiting = waitingFor(request.service)};
+    for (const auto *candidate : plainCandidates(request.service, now)) {
+        out.places += candidate->info.slots;
+        out.taken += static_cast<std::int64_t>(candidate->open.size()) + m_fleet.loadAt(candidate->info.name).running;
+    }
+    return out;
+}
+
+std::optional<wait_refusal> placer::enqueueOrRefuse(placement_request request, time_point now)
 {
     const auto expected = expectedWait(request, now);
     auto longest = std::chrono::duration_cast<duration>((request.latest - now) * maxWaitFraction);
@@ -96,7 +121,7 @@
         longest = std::min(longest, request.arrivedAt + request.objective - now);
     }
     if (expected > longest) {
-        return expected;
+        return refusalOf(request, expected, longest, now);
     }
     const auto position = std::find_if(queue.begin(), queue.end(), [&](const auto &queued) { return queued.priority > request.priority; });
     queue.insert(position, std::move(request));
--- a/src/placer.hpp
+++ b/src/placer.hpp
@@ -48,6 +48,18 @@
     std::uint64_t seed = 0;
 };
 
+// Why a request cannot wait for a place.
+struct wait_refusal {
+    duration expected{}; // Expected wait.
+    duration longest{}; // Longest wait that leaves time for the answer.
+    std::int64_t places = 0; // Places of the service's endpoints that serve requests.
+    std::int64_t taken = 0;
+    std::int64_t waiting = 0; // Requests that wait for them, here and elsewhere.
+
+    // Returns the figures for a log line.
+    std::string text() const;
+};
+
 class placer
 {
 public:
@@ -60,8 +72,8 @@
     // Returns whether requests wait for permits of the service's endpoints. They come before a new one.
     bool waitsForPermits(const service_name &service, time_point now) const;
 
-    // Returns the wait for a place if it is too long for the request, and queues the request otherwise.
-    std::optional<duration> enqueueOrRefuse(placement_request request, time_point now);
+    // Returns why if the wait for a place is too long for the request, and queues the request otherwise.
+    std::optional<wait_refusal> enqueueOrRefuse(placement_request request, time_point now);
     void remove(const place_owner &owner);
 
     // Takes a place for a request and records the work at the endpoints. Returns false if the request has to wait on.
@@ -82,6 +94,8 @@
     // Returns plain endpoints, and decode endpoints for model requests without a token count.
     std::vector<endpoint_entry *> plainCandidates(const service_name &service, time_point now) const;
     duration expectedWait(const placement_request &request, time_point now) const;
+    wait_refusal refusalOf(const placement_request &request, duration expected, duration longest, time_point now) const;
+    std::int64_t waitingFor(const service_name &service) const;
 
     endpoint_directory &m_endpoints;
     const fleet_view &m_fleet;
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -487,7 +487,7 @@
     if (m_components.endpoints.onlyLimited(entry.service, m_components.clock.now())) {
         retryAfter = addJitter(std::clamp(expected, shortestOverloadRetry, longestLimitRetry), entry.request.payload->id);
     }
-    failRequest(entry, failure::Overloaded, outcome::NotRun, std::string(detail) + millisText(expected) + " ms", retryAfter);
+    failRequest(entry, failure::Overloaded, outcome::NotRun, detail, retryAfter);
 }
 
 // Refuses at once a request that cannot be served in time, and queues any other by its priority.
@@ -513,8 +513,8 @@
     if ((!entry.headSent || m_components.endpoints.hasLimits(entry.service, now)) && askHub(entry)) {
         return;
     }
-    if (const auto expected = m_components.placement.enqueueOrRefuse(placementRequestOf(entry), now)) {
-        refuseOverloaded(entry, *expected, "the expected wait for an endpoint is ");
+    if (const auto refusal = m_components.placement.enqueueOrRefuse(placementRequestOf(entry), now)) {
+        refuseOverloaded(entry, refusal->expected, "no endpoint has a place in time " + refusal->text());
         return;
     }
     m_components.logMessage(severity::Info,
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -122,7 +122,7 @@
     m_asks.erase(found);
     entry.ask.reset();
     if (grant.result == placement_result::Refused) {
-        refuseOverloaded(entry, grant.expectedWait, "the hub " + grant.from.vm.value + " expects a wait of ");
+        refuseOverloaded(entry, grant.expectedWait, "the hub " + grant.from.vm.value + " expects a wait of " + millisText(grant.expectedWait) + " ms");
         return;
     }
     const auto usable = [&](const endpoint_name &name) {
@@ -189,8 +189,14 @@
         return;
     }
     const auto owner = request.owner;
-    const auto expected = m_components.placement.enqueueOrRefuse(std::move(request), now);
-    answerAsk(owner, {.result = expected ? placement_result::Refused : placement_result::Queued, .expectedWait = expected.value_or(duration{})});
+    const auto refusal = m_components.placement.enqueueOrRefuse(std::move(request), now);
+    if (refusal) {
+        m_components.logMessage(severity::Info,
+                                log_component::Place,
+                                "ask vm=" + owner.vm.value + " number=" + std::to_string(owner.number) + " refused service=" + ask.service.value + ' '
+                                    + refusal->text());
+    }
+    answerAsk(owner, {.result = refusal ? placement_result::Refused : placement_result::Queued, .expectedWait = refusal ? refusal->expected : duration{}});
 }
 
 // Grants a place to another VM and counts the work until that VM reports it.
