Send cold endpoints no more than they tolerate

What callers saw: an endpoint that starts again during traffic is slow for some seconds and crashes well above a rate that the operator states (`cold_per_s`). The VMs sent it its full part at once, so it crashed again and its callers got 502 or waited for another place.

Cause: nothing knew that an endpoint was cold, and the pace of requests (request_pace) bound only limits that an endpoint states itself.

Change: endpoint_warmup knows for how long an endpoint may be cold, from the entry (`cold_left_ms`), from any answer (`X-Cold-Ms`), and from what is unknown: a run that was just announced, an entry without a time, a refused connection, or a statement that cannot be read. Meanwhile a request needs a permit of a pace of its own, by the shares of the VMs that place. Its permits add up to a fifth of a second and one more, and lapse below five a second, so that the sum over all VMs stays within 1.5 times the rate and 5 requests in any second. A VM that learns a longer time from an answer tells the others (element 6 of the totals, absent otherwise). A decode endpoint that has become cold while the prompt was read elsewhere takes the request with a permit only. endpoint_directory::onMayBeCold marks the endpoints of a data centre, for the end of an evacuation.

For services without `cold_per_s` nothing changes: the time that counts down in the entries is no change that is logged or passed on.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -87,6 +87,7 @@
     bool leaving = false; // It ends soon and wants no further requests from any VM.
     std::optional<duration> pause; // It wants no requests from this VM for this time.
     std::optional<duration> coldLeft; // It stays cold for this time.
+    bool coldKnown = true; // False: the answer says how long it stays cold in a way that cannot be read.
 };
 
 // Complete answer that is not a stream of events.
@@ -266,6 +267,13 @@
     bool operator==(const leaving_endpoint &) const = default;
 };
 
+// A run of an endpoint that is cold, as an answer has stated.
+struct cold_endpoint {
+    endpoint_name name;
+    std::int64_t startedAt = 0; // Start of the run, as the endpoint announced it.
+    duration left{}; // Time until it is warm.
+};
+
 // The end of an endpoint while it was answering requests.
 struct endpoint_crash {
     endpoint_name endpoint;
@@ -339,6 +347,7 @@
     crash_report evidence;
     std::vector<limit_report> limits; // Limits that endpoints name, after each change.
     std::vector<leaving_endpoint> leavingEndpoints; // Those that have lately said that they leave.
+    std::vector<cold_endpoint> coldEndpoints; // Those that have lately said that they are cold.
     std::vector<evacuation> evacuations; // All that are known.
 
     fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
@@ -380,6 +389,7 @@
     crash_report evidence;
     std::vector<limit_report> limits; // Limits that endpoints name, after each change and again from time to time.
     std::vector<leaving_endpoint> leavingEndpoints; // Those that have lately said that they leave, and from time to time all.
+    std::vector<cold_endpoint> coldEndpoints; // Those that have lately said that they are cold.
     std::vector<evacuation> evacuations; // All that are known.
     std::optional<default_versions> defaults; // Included from time to time.
     // Last heartbeat of the receiver that the totals include, or its last totals if it is a hub of another data centre. The sequence is 0 if
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -121,7 +121,9 @@
     return out;
 }
 
-// Encodes loads, waiting requests, changed roles, admissions and leaving endpoints, which both messages carry.
+constexpr std::size_t coldIndex = 6; // Of the cold endpoints in the totals. Element 5 is that of the evacuations.
+
+// Encodes loads, waiting requests, changed roles, admissions, leaving and cold endpoints, which both messages carry.
 template<class Message>
 json encodeTotals(const Message &message)
 {
@@ -140,6 +142,14 @@
     if (!message.leavingEndpoints.empty()) {
         out.push_back(encodeList(message.leavingEndpoints, [](const auto &endpoint) { return json{endpoint.name.value, endpoint.startedAt}; }));
     }
+    if (!message.coldEndpoints.empty()) {
+        while (out.size() < coldIndex) {
+            out.push_back(json::array());
+        }
+        out.push_back(encodeList(message.coldEndpoints, [](const auto &endpoint) {
+            return json{endpoint.name.value, endpoint.startedAt, std::chrono::ceil<milliseconds>(endpoint.left).count()};
+        }));
+    }
     return out;
 }
 
@@ -166,6 +176,12 @@
             return leaving_endpoint{{endpoint.at(0).get<std::string>()}, wholeNumber<std::int64_t>(endpoint.at(1))};
         });
     }
+    if (in.size() > coldIndex) {
+        message.coldEndpoints = decodeList<cold_endpoint>(in.at(coldIndex), [](const json &endpoint) {
+            return cold_endpoint{
+                {endpoint.at(0).get<std::string>()}, wholeNumber<std::int64_t>(endpoint.at(1)), milliseconds{wholeNumber<std::uint32_t>(endpoint.at(2))}};
+        });
+    }
 }
 
 json encodeTraits(const std::vector<request_trait> &traits)
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -83,6 +83,20 @@
 {
     downTime = downTime == duration{} ? initialDownTime : std::min(downTime * 2, maxDownTime);
     downUntil = now + downTime;
+    warmup.onMayBeCold(downUntil, now); // Its next run may answer before the directory shows it.
+}
+
+void endpoint_entry::takePermit(time_point now)
+{
+    pace.take(now);
+    warmup.take(now);
+}
+
+std::optional<double> endpoint_entry::permitRate(time_point now) const
+{
+    const auto limit = pace.rate();
+    const auto cold = warmup.rate(now);
+    return limit && cold ? std::min(limit, cold) : limit ? limit : cold;
 }
 
 // The refusal means that another endpoint has the address, or that this one has another role by now. Only the directory tells the two apart.
@@ -124,16 +138,17 @@
     return load;
 }
 
-double endpoint_entry::throughput(duration holdTime) const
+double endpoint_entry::throughput(duration holdTime, time_point now) const
 {
     const auto seconds = std::max(std::chrono::duration<double>(holdTime).count(), std::numeric_limits<double>::min());
     const auto bySlots = info.slots / seconds;
-    return pace.rate() ? std::min(bySlots, *pace.rate()) : bySlots;
+    return std::min(bySlots, permitRate(now).value_or(bySlots));
 }
 
-bool endpoint_directory::applyAnnouncement(const relay_endpoint &info)
+bool endpoint_directory::applyAnnouncement(const relay_endpoint &info, bool isChange, time_point now)
 {
-    auto &entry = m_entries[info.name];
+    const auto [found, isNew] = m_entries.try_emplace(info.name);
+    auto &entry = found->second;
     // This is a late announcement of an earlier run.
     if (info.startedAt < entry.info.startedAt) {
         return false;
@@ -147,6 +162,16 @@
         entry.wayLost = false;
         entry.connectFailedAt.reset();
     }
+    if (isNew || entry.info.service != info.service) {
+        const auto terms = m_coldTerms.find(info.service);
+        entry.warmup.setTerms(terms == m_coldTerms.end() ? std::nullopt : std::optional(terms->second), now);
+        entry.warmup.setShare(m_limitShare, stableHash(info.name.value, m_paceSeed), now);
+    }
+    if (isNew || restarted) {
+        entry.warmup.onRun(info.coldLeft, isChange || !isNew, now);
+    } else if (entry.info.coldLeft != info.coldLeft) {
+        entry.warmup.onListed(info.coldLeft, now);
+    }
     // The endpoint itself has written its entry again, so it is alive.
     if (changed) {
         ++entry.announcements;
@@ -183,7 +208,7 @@
     for (const auto &change : read.changed) {
         listedNames.insert(change.name);
         if (change.value) {
-            if (applyAnnouncement(*change.value)) {
+            if (applyAnnouncement(*change.value, !read.whole, now)) {
                 changedNames.push_back(change.name);
             }
             continue;
@@ -460,13 +485,14 @@
     m_limitShare = share;
     for (auto &[name, entry] : m_entries) {
         updatePace(entry, now);
+        entry.warmup.setShare(share, stableHash(name.value, m_paceSeed), now);
     }
 }
 
 bool endpoint_directory::hasLimits(const service_name &service, time_point now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
-        return item.second.info.service == service && item.second.pace.rate() && item.second.usable(now);
+        return item.second.info.service == service && item.second.permitRate(now) && item.second.usable(now);
     });
 }
 
@@ -474,7 +500,7 @@
 {
     return hasLimits(service, now) && std::none_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
                const auto &entry = item.second;
-               return entry.info.service == service && entry.info.role != endpoint_role::Prefill && !entry.pace.rate() && entry.usable(now);
+               return entry.info.service == service && entry.info.role != endpoint_role::Prefill && !entry.permitRate(now) && entry.usable(now);
            });
 }
 
@@ -483,4 +509,66 @@
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [](const auto &item) { return item.second.pace.rate().has_value(); }));
 }
 
+void endpoint_directory::setColdTerms(const std::vector<relay_service> &services, time_point now)
+{
+    m_coldTerms.clear();
+    for (const auto &service : services) {
+        if (service.coldRate > 0) {
+            m_coldTerms[service.name] = {service.coldTime, service.coldRate};
+        }
+    }
+    for (auto &[name, entry] : m_entries) {
+        const auto terms = m_coldTerms.find(entry.info.service);
+        entry.warmup.setTerms(terms == m_coldTerms.end() ? std::nullopt : std::optional(terms->second), now);
+    }
+}
+
+void endpoint_directory::onMayBeCold(const data_centre_name &dataCentre, time_point now)
+{
+    for (auto &[name, entry] : m_entries) {
+        if (entry.info.dataCentre == dataCentre) {
+            entry.warmup.onMayBeCold(now, now);
+        }
+    }
+}
+
+bool endpoint_directory::onColdStatement(
+    const endpoint_name &name, std::int64_t startedAt, const endpoint_statement &statement, time_point sentAt, time_point now)
+{
+    auto *const entry = find(name);
+    if (entry == nullptr || entry->info.startedAt != startedAt) {
+        return false;
+    }
+    if (!statement.coldKnown) {
+        return entry->warmup.onUnreadable(now);
+    }
+    return statement.coldLeft && entry->warmup.onStated(*statement.coldLeft, sentAt, now);
+}
+
+void endpoint_directory::onColdReports(const std::vector<cold_endpoint> &reports, time_point now)
+{
+    for (const auto &report : reports) {
+        auto *const entry = find(report.name);
+        if (entry != nullptr && entry->info.startedAt == report.startedAt) {
+            entry->warmup.onReported(report.left, now);
+        }
+    }
+}
+
+std::vector<cold_endpoint> endpoint_directory::coldReports(time_point now) const
+{
+    std::vector<cold_endpoint> out;
+    for (const auto &[name, entry] : m_entries) {
+        if (const auto left = entry.warmup.report(now)) {
+            out.push_back({name, entry.info.startedAt, *left});
+        }
+    }
+    return out;
+}
+
+std::size_t endpoint_directory::coldEndpoints(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &item) { return item.second.warmup.isCold(now); }));
+}
+
 } // namespace plantainpoint
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "endpoint_warmup.hpp"
 #include "leaving_runs.hpp"
 #include "plantainpoint/clock.hpp"
 #include "plantainpoint/relay.hpp"
@@ -70,6 +71,7 @@
     duration misdirectedTime{}; // Length of the last exclusion after such a refusal, which doubles with each one.
     request_limit limit; // What the endpoint says that it takes.
     request_pace pace; // This VM's part of it.
+    endpoint_warmup warmup;
     time_point pausedUntil{}; // This run wants no requests from this VM until then.
     time_point heardAt{}; // Arrival of the last bytes of an answer, on any way.
     time_point reachedAt{}; // Arrival of the last bytes on a connection of this VM, without a proxy.
@@ -89,10 +91,18 @@
     // Excludes an endpoint that refused a request as not meant for it, until the directory shows that the endpoint is alive at its address. The number of
     // announcements is that at the dispatch of the request.
     void onMisdirected(std::uint64_t knownAnnouncements, time_point now);
-    // Returns whether this VM may place a request here: the endpoint accepts work, and this VM's part of its limit is not used up.
-    bool takesPlacement(bool isOwn, time_point now) const { return (isOwn ? acceptsWork(now) : acceptsWorkOfOthers(now)) && pace.allows(now); }
+    // Returns whether this VM may place a request here: the endpoint accepts work, and this VM's part of its limit is not used up, nor that of the pace of a
+    // cold endpoint.
+    bool takesPlacement(bool isOwn, time_point now) const
+    {
+        return (isOwn ? acceptsWork(now) : acceptsWorkOfOthers(now)) && pace.allows(now) && warmup.allows(now);
+    }
+    // Counts a request against the limit of the endpoint, and against the pace of a cold one.
+    void takePermit(time_point now);
+    // Returns the requests a second that this VM may send here, or nothing if nothing limits them.
+    std::optional<double> permitRate(time_point now) const;
     // Returns the requests a second that this VM may place here while each holds its place for the time.
-    double throughput(duration holdTime) const;
+    double throughput(duration holdTime, time_point now) const;
     // Returns whether open attempts are overdue and nothing has arrived meanwhile, so that open connections may be dead.
     bool isSilent(time_point now) const;
     // Returns the longest wait of an open attempt that has no answer yet.
@@ -177,8 +187,20 @@
     std::vector<leaving_endpoint> leavingReports(bool refresh, time_point now) const;
     std::size_t leavingEndpoints() const { return m_leavingRuns.size(); }
 
+    // Sets how cold endpoints of the services are treated.
+    void setColdTerms(const std::vector<relay_service> &services, time_point now);
+    // Counts the endpoints of a data centre as cold from now on, as they have got no work for a while or may have started again.
+    void onMayBeCold(const data_centre_name &dataCentre, time_point now);
+    // Records how cold a run of an endpoint is, as an answer to a request sent at the time states it. Returns whether it is cold for longer than was known.
+    bool onColdStatement(const endpoint_name &name, std::int64_t startedAt, const endpoint_statement &statement, time_point sentAt, time_point now);
+    // Records how cold endpoints are, as they have told another VM.
+    void onColdReports(const std::vector<cold_endpoint> &reports, time_point now);
+    // Returns what other VMs are told of cold endpoints: what an answer to this VM, or to another one, has lately stated.
+    std::vector<cold_endpoint> coldReports(time_point now) const;
+    std::size_t coldEndpoints(time_point now) const;
+
 private:
-    bool applyAnnouncement(const relay_endpoint &info);
+    bool applyAnnouncement(const relay_endpoint &info, bool isChange, time_point now);
     bool withdraw(endpoint_entry &entry, time_point now) const;
     void updatePace(endpoint_entry &entry, time_point now) const;
 
@@ -191,6 +213,7 @@
     std::map<endpoint_name, endpoint_entry> m_entries;
     leaving_runs m_leavingRuns;
     std::map<endpoint_name, endpoint_pause> m_pauses;
+    std::map<service_name, cold_terms> m_coldTerms; // Of the services whose cold endpoints tolerate a rate.
     std::uint64_t m_position = 0;
     std::uint64_t m_changedPosition = 0;
     time_point m_reachableSince{};
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -279,7 +279,8 @@
         const auto &last = *m_sentHeartbeats.back().content;
         const bool unchanged = last.loads == report.loads && last.waiting == report.waiting && last.changingRole == report.changingRole
                                && last.usage == report.usage && last.leaving == m_leaving && report.evidence.crashes.empty() && report.evidence.answered.empty()
-                               && report.limits.empty() && report.leavingEndpoints.empty() && last.follows == m_follows && receivers == m_lastReceivers;
+                               && report.limits.empty() && report.leavingEndpoints.empty() && report.coldEndpoints.empty() && last.follows == m_follows
+                               && receivers == m_lastReceivers;
         if (unchanged && now - m_lastHeartbeatAt < idleHeartbeatInterval) {
             return;
         }
@@ -318,7 +319,8 @@
                                                                                     .outcomes = report.outcomes,
                                                                                     .evidence = report.evidence,
                                                                                     .limits = report.limits,
-                                                                                    .leavingEndpoints = report.leavingEndpoints});
+                                                                                    .leavingEndpoints = report.leavingEndpoints,
+                                                                                    .coldEndpoints = report.coldEndpoints});
     m_sentHeartbeats.push_back({m_heartbeatSequence, now, heartbeatMessage});
     if (m_sentHeartbeats.size() > maxSentHeartbeats) {
         m_sentHeartbeats.pop_front();
@@ -407,6 +409,7 @@
                                                                  .evidence = report.evidence,
                                                                  .limits = report.limits,
                                                                  .leavingEndpoints = report.leavingEndpoints,
+                                                                 .coldEndpoints = report.coldEndpoints,
                                                                  .defaults = report.defaults});
     if (!summary->hasUsage()) {
         return summary;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -36,6 +36,7 @@
     crash_report evidence;
     std::vector<limit_report> limits;
     std::vector<leaving_endpoint> leavingEndpoints;
+    std::vector<cold_endpoint> coldEndpoints;
     std::optional<default_versions> defaults;
 };
 
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -61,7 +61,7 @@
     }
     double perSecond = 0;
     for (const auto *candidate : candidates) {
-        perSecond += candidate->throughput(holdTime);
+        perSecond += candidate->throughput(holdTime, now);
     }
     // The requests that wait at other VMs use parts of the limits of their own.
     const double seconds = std::min(static_cast<double>(here + 1) / std::max(perSecond, lowestThroughput), longestExpectedWait);
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -290,7 +290,7 @@
                                         request.seed};
         const auto decodes = m_components.endpoints.candidates(entry.service, endpoint_role::Decode, now);
         if (auto *const decode = chooseDecode(decodes, *request.engine, *request.tokens, context)) {
-            decode->pace.take(now);
+            decode->takePermit(now);
             send(entry, *decode, dispatch_kind::Decode, 0);
             return true;
         }
@@ -318,6 +318,7 @@
     entry.prefillTried = true;
     entry.reservation = ++m_lastAttempt;
     entry.reservationEndpoint = placement.decode->info.name;
+    entry.reservationWasCold = placement.decode->warmup.isCold(m_components.clock.now());
     const auto memory = expectedMemory(*entry.request.tokens, m_components.speeds);
     placement.decode->open.emplace(*entry.reservation, open_work{m_components.clock.now(), 0, memory, true});
     send(entry, *placement.prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -278,6 +278,11 @@
     if (statement->leaving && endpoints.onLeaving({attempt.endpoint, attempt.endpointStartedAt}, now)) {
         log(" says that it leaves started_at=" + std::to_string(attempt.endpointStartedAt));
     }
+    if (endpoints.onColdStatement(attempt.endpoint, attempt.endpointStartedAt, *statement, attempt.sentAt, now)) {
+        ++(statement->coldKnown ? m_components.metrics.coldStatements : m_components.metrics.coldUnreadable);
+        log((statement->coldKnown ? " says that it is cold for_ms=" : " may be cold as its statement cannot be read for_ms=")
+            + millisText(endpoints.find(attempt.endpoint)->warmup.coldUntil() - now));
+    }
     if (statement->pause && endpoints.onPause(attempt.endpoint, attempt.endpointStartedAt, *statement->pause, now)) {
         ++m_components.metrics.pauses;
         log(" wants no requests for_ms=" + millisText(*statement->pause));
@@ -418,7 +423,9 @@
     entry->prefilledAt = m_components.clock.now();
     auto *const decode = m_components.endpoints.find(entry->reservationEndpoint);
     const bool hasVersion = decode != nullptr && (!entry->version || decode->info.version == *entry->version);
-    if (hasVersion && decode->acceptsWork(m_components.clock.now())) {
+    // An endpoint that has become cold meanwhile takes no request without a permit.
+    const bool isPermitted = decode != nullptr && (entry->reservationWasCold || !decode->warmup.isCold(m_components.clock.now()));
+    if (hasVersion && isPermitted && decode->acceptsWork(m_components.clock.now())) {
         sendDecode(*entry, *decode);
         scheduleWakeup(*entry);
         return;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -40,6 +40,12 @@
     return " open=" + std::to_string(entry.open.size()) + " last_sent_ms=" + age;
 }
 
+// Returns the time until the endpoint is warm, or nothing if it is.
+std::string coldText(const endpoint_entry &entry, time_point now)
+{
+    return entry.warmup.isCold(now) ? " cold_ms=" + millisText(entry.warmup.coldUntil() - now) : std::string{};
+}
+
 } // namespace
 
 struct relay_core::state {
@@ -117,6 +123,7 @@
     const auto previousVersion = components.routes ? components.routes->version() : 0;
     components.routes = std::make_shared<route_table>(read.config);
     components.limiter.setAccounts(read.config->accounts, components.clock.now());
+    components.endpoints.setColdTerms(read.config->services, components.clock.now());
     updateVersions();
     components.logMessage(severity::Info,
                           log_component::Log,
@@ -145,6 +152,7 @@
         const bool withdrawn = entry->withdrawnAt.has_value();
         if (!withdrawn) {
             requests.onAnnounced(entry->info);
+            components.metrics.coldUnknown += entry->warmup.isPaced() && !entry->info.coldLeft ? 1 : 0;
         }
         components.logMessage(severity::Info,
                               log_component::Monitor,
@@ -153,7 +161,8 @@
                                   + (withdrawn                                            ? "withdrawn"
                                      : entry->info.condition == endpoint_condition::Ready ? "ready"
                                                                                           : "leaving")
-                                  + " directory=" + std::to_string(read.position) + workText(*entry, components.clock.now()));
+                                  + coldText(*entry, components.clock.now()) + " directory=" + std::to_string(read.position)
+                                  + workText(*entry, components.clock.now()));
     }
 }
 
@@ -189,6 +198,7 @@
     components.limiter.debit(arrival.admitted, now);
     components.quarantine.onEvidence(message.evidence, now);
     components.endpoints.onLimits(message.limits, now);
+    components.endpoints.onColdReports(message.coldEndpoints, now);
     for (const auto &endpoint : message.leavingEndpoints) {
         if (components.endpoints.onLeaving(endpoint, now)) {
             components.logMessage(severity::Info,
@@ -334,6 +344,7 @@
                       .evidence = components.quarantine.evidence(now),
                       .limits = components.endpoints.limitReports(refreshes, now),
                       .leavingEndpoints = components.endpoints.leavingReports(refreshes, now),
+                      .coldEndpoints = components.endpoints.coldReports(now),
                       .defaults = refreshes ? components.versions.defaults(now) : std::nullopt};
     if (now - lastChangeAt < changesRepeatTime) {
         result.changesFrom = directoryState.changesFrom;
@@ -626,6 +637,7 @@
             {"endpoints", components.endpoints.size()},
             {"limited_endpoints", components.endpoints.limitedEndpoints()},
             {"leaving_endpoints", components.endpoints.leavingEndpoints()},
+            {"cold_endpoints", components.endpoints.coldEndpoints(now)},
             {"endpoints_through_proxies", components.ways.lostWays()},
             {"cut_off", components.ways.isCutOff()},
             {"vms_heard", components.fleet.heard(now)},
@@ -650,6 +662,7 @@
     result["vms_heard"] = m_state->components.fleet.heard(now);
     result["vms"] = m_state->components.fleet.members(now);
     result["quarantined_requests"] = m_state->components.quarantine.active(now).size();
+    result["cold_endpoints"] = m_state->components.endpoints.coldEndpoints(now);
     result["hub"] = m_state->components.fleet.isHub();
     return result;
 }
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -47,12 +47,12 @@
     endpoint_entry *decode = nullptr;
     duration expected{}; // Expected time to the first event.
 
-    // Counts the requests against the limits that the endpoints name.
+    // Counts the requests against the limits that the endpoints name, and against the pace of cold ones.
     void takePermits(time_point now) const
     {
         for (auto *endpoint : {prefill, decode}) {
             if (endpoint != nullptr) {
-                endpoint->pace.take(now);
+                endpoint->takePermit(now);
             }
         }
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -105,6 +105,7 @@
     std::optional<relay_attempt> overdueAttempt;
     std::optional<attempt_number> reservation; // Slot at the decode endpoint while the prefill endpoint reads the prompt.
     endpoint_name reservationEndpoint;
+    bool reservationWasCold = false; // The slot was reserved with a permit of a cold endpoint.
     std::optional<prefill_source> source; // Prefill result that no decode endpoint has fetched.
     time_point prefilledAt{};
     std::set<endpoint_name> triedEndpoints; // Endpoints that the next attempt avoids.
--- a/src/request_pace.cpp
+++ b/src/request_pace.cpp
@@ -5,42 +5,31 @@
 
 namespace plantainpoint {
 
-namespace {
-
-constexpr double savedSeconds = 0.5; // Permits of this time are kept, so that requests that arrive unevenly use the rate up.
-constexpr double slowRate = 1; // Permits a second. Below it, permits lapse.
-constexpr double permitLifetime = 1; // Seconds.
-// Permits a second below which many VMs hold a part each. Their permits fall at random times, and at some times more than usual.
-constexpr double sparseRate = 0.1;
-constexpr double sparseFactor = 0.6;
-
-} // namespace
-
 double request_pace::levelAt(time_point now) const
 {
     const auto elapsed = std::chrono::duration<double>(std::max(now - m_setAt, duration{})).count();
     if (*m_rate <= 0) {
         return 0;
     }
-    if (*m_rate >= slowRate) {
-        return std::min(1 + *m_rate * savedSeconds, m_level + *m_rate * elapsed);
+    if (*m_rate >= m_terms.slowRate) {
+        return std::min(1 + *m_rate * m_terms.savedSeconds, m_level + *m_rate * elapsed);
     }
     const double interval = 1 / *m_rate;
-    const double position = std::fmod(std::min(m_level, 1.0) * interval + elapsed, interval + permitLifetime);
+    const double position = std::fmod(std::min(m_level, 1.0) * interval + elapsed, interval + m_terms.permitLifetime);
     return std::min(1.0, position / interval);
 }
 
 void request_pace::setRate(std::optional<double> perSecond, std::uint64_t seed, time_point now)
 {
-    if (perSecond && *perSecond < sparseRate) {
-        perSecond = *perSecond * sparseFactor;
+    if (perSecond && *perSecond < m_terms.sparseRate) {
+        perSecond = *perSecond * m_terms.sparseFactor;
     }
     if (perSecond == m_rate) {
         return;
     }
     const bool begins = !m_rate || *m_rate <= 0;
     double level = begins ? 0 : levelAt(now);
-    if (begins && perSecond && *perSecond < slowRate) {
+    if (begins && perSecond && *perSecond < m_terms.slowRate) {
         constexpr std::uint64_t steps = 1024;
         level = static_cast<double>(seed % steps) / steps;
     }
--- a/test/endpoint_terms_codec_test.cpp
+++ b/test/endpoint_terms_codec_test.cpp
@@ -65,6 +65,35 @@
     }
 }
 
+// Guards against a receiver that takes the cold endpoints for something else, and against messages that grow without any.
+BOOST_AUTO_TEST_CASE(coldEndpointsPassBetweenVms)
+{
+    constexpr std::size_t totalsIndex = 7;
+    const std::vector<cold_endpoint> cold{{{"desk-1"}, 1767225600000, milliseconds{2500}}};
+    for (const auto &leaving : {std::vector<leaving_endpoint>{}, std::vector<leaving_endpoint>{{{"desk-2"}, 5}}}) {
+        auto message = heartbeatWith({});
+        message.leavingEndpoints = leaving;
+        const auto before = encodeHeartbeat(message);
+        message.coldEndpoints = cold;
+        const auto decoded = decodeFleetMessage(encodeHeartbeat(message));
+        BOOST_REQUIRE(decoded.ok());
+        const auto &got = std::get<fleet_heartbeat>(*decoded);
+        BOOST_TEST((got.leavingEndpoints == leaving));
+        BOOST_REQUIRE(got.coldEndpoints.size() == 1U);
+        BOOST_TEST(got.coldEndpoints[0].name.value == "desk-1");
+        BOOST_TEST(got.coldEndpoints[0].startedAt == 1767225600000);
+        BOOST_TEST((got.coldEndpoints[0].left == milliseconds{2500}));
+        // The list of leaving endpoints is the last element that earlier builds know.
+        BOOST_TEST(nlohmann::json::from_cbor(before.substr(1)).at(totalsIndex).size() == 4U + (leaving.empty() ? 0U : 1U));
+        BOOST_TEST(nlohmann::json::from_cbor(encodeHeartbeat(message).substr(1)).at(totalsIndex).at(4).size() == leaving.size());
+    }
+    auto summary = summaryWith({});
+    summary.coldEndpoints = cold;
+    const auto decoded = decodeFleetMessage(encodeSummary(encodeSummaryBody(summary), 1, 1));
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST(std::get<fleet_summary>(*decoded).coldEndpoints.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(anAskTellsThatTheCallerHasAPartOfItsAnswer)
 {
     for (const bool begun : {false, true}) {
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -135,6 +135,39 @@
     BOOST_TEST(!decodeEndpoint("i-1", "7").ok());
 }
 
+// Guards against cold workers that are taken for warm ones because a field is read wrongly, or refuses the whole entry or configuration.
+BOOST_AUTO_TEST_CASE(coldTermsAndTimesAreDecoded)
+{
+    const auto serviceOf = [](const std::string &fields) {
+        const auto config = decodeConfiguration(R"({"version":1,"routes":[],"services":[{"name":"desk")" + fields + "}]}");
+        return config.ok() ? std::optional(config->services.front()) : std::nullopt;
+    };
+    const auto cold = serviceOf(R"(,"cold_start_s":2.5,"cold_per_s":34)");
+    BOOST_REQUIRE(cold.has_value());
+    BOOST_TEST((cold->coldTime == std::chrono::milliseconds{2500}));
+    BOOST_TEST(cold->coldRate == 34);
+    for (const auto *fields : {"", R"(,"cold_start_s":null,"cold_per_s":null)", R"(,"cold_per_s":0)", R"(,"cold_per_s":-3)"}) {
+        const auto warm = serviceOf(fields);
+        BOOST_REQUIRE(warm.has_value());
+        BOOST_TEST(warm->coldRate == 0, fields);
+    }
+    BOOST_TEST(!serviceOf(R"(,"cold_per_s":"many")").has_value());
+
+    const auto leftOf = [](const std::string &value) {
+        return decodeEndpoint("i-1", workerEntry(R"("cold_left_ms":0)", R"("cold_left_ms":)" + value))->coldLeft;
+    };
+    BOOST_TEST((leftOf("0") == std::chrono::milliseconds{0}));
+    BOOST_TEST((leftOf("2999.5") == std::chrono::milliseconds{3000}));
+    BOOST_TEST((leftOf("1e300") == std::chrono::minutes{10}));
+    for (const auto *value : {"-1", "\"3000\"", "null", "[3]", "{}"}) {
+        BOOST_TEST(!leftOf(value).has_value(), value);
+        BOOST_TEST(hasUnreadableColdTime(workerEntry(R"("cold_left_ms":0)", R"("cold_left_ms":)" + std::string(value))), value);
+    }
+    BOOST_TEST(!decodeEndpoint("i-1", workerEntry(R"("cold_left_ms":0,)", ""))->coldLeft.has_value());
+    BOOST_TEST(!hasUnreadableColdTime(workerEntry(R"("cold_left_ms":0,)", "")));
+    BOOST_TEST(!hasUnreadableColdTime(workerEntry()));
+}
+
 // Guards against pages with broken framing, and against records that are not keyed records being read as such.
 BOOST_AUTO_TEST_CASE(logPagesAreChecked)
 {
@@ -394,6 +427,28 @@
 }
 
 // Guards against a worker that says that it leaves, or that it wants no requests for a while, and is not understood.
+BOOST_AUTO_TEST_CASE(theColdTimeIsReadFromAnyAnswer)
+{
+    const auto statementOf = [](int status, const std::vector<std::string> &values) {
+        auto fields = fieldsOf({{"X-Request-Id", "id-1"}, {"X-Reply-Stamp", "s"}});
+        for (const auto &value : values) {
+            fields.insert("x-cold-ms", value);
+        }
+        return worker_dialect{}.traits(status, fields, "id-1").statement.value_or(endpoint_statement{.coldKnown = false});
+    };
+    for (const int status : {200, 404, 429, 503}) {
+        BOOST_TEST((statementOf(status, {"2500"}).coldLeft == std::chrono::milliseconds{2500}), status);
+    }
+    BOOST_TEST((statementOf(200, {"0"}).coldLeft == std::chrono::milliseconds{0}));
+    BOOST_TEST((statementOf(200, {"10", "30.5", "20"}).coldLeft == std::chrono::microseconds{30'500}));
+    BOOST_TEST((statementOf(200, {"1e300"}).coldLeft == std::chrono::minutes{10}));
+    BOOST_TEST((!statementOf(200, {}).coldLeft && statementOf(200, {}).coldKnown));
+    for (const auto *value : {"", "-1", "soon", "nan", "inf", "3 s"}) {
+        BOOST_TEST((!statementOf(200, {value}).coldLeft && !statementOf(200, {value}).coldKnown), value);
+        BOOST_TEST(!statementOf(200, {"5", value}).coldKnown, value);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(whatAWorkerSaysOfItselfIsRead)
 {
     const auto statementOf = [](int status, const std::vector<header> &headers, const std::string &id = "id-1") {
--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -270,4 +270,28 @@
     BOOST_TEST(std::none_of(connections.begin(), connections.end(), requestsForNextPage));
 }
 
+// Guards against a worker whose cold time counts down in its entries and fills the messages between VMs where nothing depends on it.
+BOOST_AUTO_TEST_CASE(aColdTimeThatCountsDownIsAChangeOfPacedServicesOnly)
+{
+    const auto entryWith = [](int coldLeft) {
+        auto entry = workerEntry("10.0.0.1:1");
+        return entry.insert(1, "\"cold_left_ms\":" + std::to_string(coldLeft) + ',');
+    };
+    for (const bool paced : {false, true}) {
+        store_fixture play;
+        play.startReading();
+        const std::string config = R"({"version":1,"routes":[],"services":[{"name":"desk")" + std::string(paced ? R"(,"cold_per_s":34)" : "") + "}]}";
+        auto *const configRead = play.requestFor("/api/log-newest?topic=keyed.op");
+        BOOST_REQUIRE(configRead != nullptr);
+        play.answer(*configRead, newestPage(1, "config", config));
+        BOOST_REQUIRE(runUntil(play.io, [&] { return !play.versions.empty(); }));
+        play.serveRequest(newestWorkersTarget, newestPage(1, "w-1", entryWith(3000)));
+        const auto target = std::string(readWorkersTarget) + "&part=0&from=";
+        play.serveRequest(target + "1", logPage(2, 0, encodeKeyedRecord("w-1", entryWith(1800))));
+        BOOST_REQUIRE(play.requestFor(target + "2") != nullptr);
+        BOOST_TEST(play.positions.size() == (paced ? 2U : 1U));
+        BOOST_TEST(play.lastState.lastChange == (paced ? 2U : 1U));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
