Expect no longer wait at cold endpoints than they stay cold

What callers saw: where only cold endpoints serve and a VM has no share of their pace (it asks a hub that does not answer), the expected wait was an hour, and the refusal said Retry-After: 30.

Cause: the expected wait divided the queue by the sum of the paces, although the bound of a cold endpoint ends with its cold time.

Change: the wait is at most the time until the first endpoint of the service that states no limit of its own is warm; the slots bound it as before.

Evidence: cold_endpoints/aRequestThatCannotBeServedInTimeIsRefusedAtOnce and the suite placement are built with it; the wait of a VM without a share has no case of its own yet.

--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -60,11 +60,16 @@
         return bySlots;
     }
     double perSecond = 0;
+    double longest = longestExpectedWait;
     for (const auto *candidate : candidates) {
         perSecond += candidate->throughput(holdTime, now);
+        // Only its slots bound an endpoint that has become warm.
+        if (candidate->warmup.isCold(now) && !candidate->pace.rate()) {
+            longest = std::min(longest, std::chrono::duration<double>(candidate->warmup.coldUntil() - now).count());
+        }
     }
     // The requests that wait at other VMs use parts of the limits of their own.
-    const double seconds = std::min(static_cast<double>(here + 1) / std::max(perSecond, lowestThroughput), longestExpectedWait);
+    const double seconds = std::min(static_cast<double>(here + 1) / std::max(perSecond, lowestThroughput), longest);
     return std::max(bySlots, std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds)));
 }
 
