Keep requests, bodies and KV caches in their home regions

What callers saw: nothing kept a request in a region. It went to any endpoint with room, through any VM that could serve as a proxy, and its prompt could be read in one region and answered in another.

Change: routes and accounts have `home_regions`; where both have them, both apply. home_regions tells whether a request may go to a data centre, by the table of regions in the settings (`region`, `regions`); one without a known region is in no home. Endpoints outside are excluded from placement, from retries, second attempts, resumed streams, prefills and decodes, and in the ask to the hub, whose grant is checked when it arrives. Only VMs in the homes serve as proxies. A request whose service has no endpoint in its homes is refused at once with no_endpoint, also when the last one leaves while it waits. A request that waits for its homes does not hold up those behind it; an empty name among the excluded endpoints of an ask tells the hub so, as hubs of the build before look for no endpoint of that name.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -424,6 +424,7 @@
     double units = 0;
     bool begun = false; // The caller has a part of its answer.
     std::optional<software_version> version; // Version that the endpoint has to have.
+    bool bound = false; // The request may not go to the excluded endpoints, whatever becomes of the others: they are outside its homes.
 };
 
 enum class placement_result : std::uint8_t {
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -327,6 +327,7 @@
     ask.maxEventGap = readMicroseconds(in.at(14));
     ask.holdTime = readMicroseconds(in.at(15));
     ask.excluded = decodeList<endpoint_name>(in.at(16), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
+    ask.bound = std::erase_if(ask.excluded, [](const auto &name) { return name.empty(); }) > 0;
     ask.seed = wholeNumber<std::uint64_t>(in.at(17));
     ask.account.value = in.at(18).get<std::string>();
     ask.units = in.at(19).get<double>();
@@ -451,6 +452,11 @@
             tokens.push_back(*ask.tokens->likelyOutput);
         }
     }
+    // An empty name among the excluded ones says that the request is bound to its homes. Hubs of an earlier version look for no endpoint of this name.
+    auto excluded = ask.excluded;
+    if (ask.bound) {
+        excluded.emplace_back();
+    }
     json out{format,
              ask.from.vm.value,
              ask.from.number,
@@ -467,7 +473,7 @@
              toMicroseconds(ask.timeLeft),
              toMicroseconds(ask.maxEventGap),
              toMicroseconds(ask.holdTime),
-             encodeList(ask.excluded, [](const auto &name) { return json(name.value); }),
+             encodeList(excluded, [](const auto &name) { return json(name.value); }),
              ask.seed,
              ask.account.value,
              ask.units,
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -18,6 +18,17 @@
     return (static_cast<std::uint64_t>(random()) << halfWidth) | random();
 }
 
+// The region of the own data centre counts unless the table states another one.
+void readRegions(settings_section &root, relay_settings &out)
+{
+    if (const auto region = root.renderedText("region"); !region.empty()) {
+        out.regions[out.dataCentre] = {region};
+    }
+    for (auto &[name, region] : root.renderedTable("regions", "region")) {
+        out.regions[{name}] = {region};
+    }
+}
+
 void readRetries(settings_section &&section, relay_settings &out)
 {
     out.retryRatio = section.number("ratio", out.retryRatio, 0, 1);
@@ -79,6 +90,7 @@
     relay_options out;
     out.core.self = {vm_name{root.text("vm")}, randomIncarnation()};
     out.core.dataCentre.value = root.text("data_centre");
+    readRegions(root, out.core);
     out.listenAddress = root.address("listen");
     out.readyAddress = root.address("ready");
     out.peerAddress = root.address("peer");
--- a/shell/yaml_reader.cpp
+++ b/shell/yaml_reader.cpp
@@ -195,6 +195,35 @@
     return std::clamp(parsed, low, high);
 }
 
+std::string settings_section::renderedText(const std::string &key)
+{
+    const auto node = find(key);
+    return node && node.IsScalar() && !isWithoutValue(node.Scalar()) ? node.Scalar() : std::string{};
+}
+
+std::map<std::string, std::string> settings_section::renderedTable(const std::string &key, const std::string &field)
+{
+    std::map<std::string, std::string> out;
+    const auto add = [&](const YAML::Node &name, const YAML::Node &value) {
+        if (name && value && name.IsScalar() && value.IsScalar() && !isWithoutValue(name.Scalar()) && !isWithoutValue(value.Scalar())) {
+            out[name.Scalar()] = value.Scalar();
+        }
+    };
+    const auto node = find(key);
+    if (node && node.IsMap()) {
+        for (const auto &item : node) {
+            add(item.first, item.second.IsMap() ? item.second[field] : item.second);
+        }
+    } else if (node && node.IsSequence()) {
+        for (const auto &item : node) {
+            if (item.IsMap()) {
+                add(item["name"], item[field]);
+            }
+        }
+    }
+    return out;
+}
+
 std::size_t settings_section::size(const std::string &key, std::size_t fallback, std::size_t low, std::size_t high)
 {
     bool found = false;
--- a/shell/yaml_reader.hpp
+++ b/shell/yaml_reader.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -46,6 +47,11 @@
     // Reads a number that a platform renders: a whole number, a fraction, or true or false for 1 or 0. An empty value, null and a placeholder that was
     // not filled in count as absent, and a value out of range is limited to it, as a VM that could serve has to start.
     double number(const std::string &key, double fallback, double low, double high);
+    // Reads a text that a platform renders. An empty value, null and a placeholder that was not filled in count as absent.
+    std::string renderedText(const std::string &key);
+    // Reads a table that a platform renders as JSON: an object of texts, or a list of objects whose field `name` and the given one are texts. Everything else
+    // in it is left out, and a value of another kind counts as absent, as a VM that could serve has to start.
+    std::map<std::string, std::string> renderedTable(const std::string &key, const std::string &field);
     // Reads a number with the unit B, KB or MB, as multiples of 1024. Returns bytes.
     std::size_t size(const std::string &key, std::size_t fallback, std::size_t low, std::size_t high);
     // Reads a number with the unit ms, s or m.
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -444,11 +444,12 @@
     return isNew;
 }
 
-std::optional<time_point> endpoint_directory::pausedUntil(const service_name &service, time_point now) const
+std::optional<time_point> endpoint_directory::pausedUntil(const service_name &service, time_point now, const data_centre_filter &allowed) const
 {
     std::optional<time_point> earliest;
     for (const auto &[name, entry] : m_entries) {
-        if (entry.info.service != service || entry.info.role == endpoint_role::Prefill || !entry.usable(now)) {
+        const bool isAllowed = !allowed || allowed(entry.info.dataCentre);
+        if (entry.info.service != service || entry.info.role == endpoint_role::Prefill || !entry.usable(now) || !isAllowed) {
             continue;
         }
         if (entry.pausedUntil <= now) {
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -1,6 +1,7 @@
 // Endpoints that the directory lists, with this VM's open work and statistics for each.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -110,6 +111,8 @@
     endpoint_load ownLoad() const;
 };
 
+using data_centre_filter = std::function<bool(const data_centre_name &)>;
+
 class endpoint_directory
 {
 public:
@@ -181,8 +184,8 @@
     bool onLeaving(const leaving_endpoint &endpoint, time_point now);
     // Records that a run of an endpoint wants no requests from this VM for the time. Returns whether it takes requests until now.
     bool onPause(const endpoint_name &name, std::int64_t startedAt, duration time, time_point now);
-    // Returns the earliest end of a pause if every endpoint of the service that can serve wants one.
-    std::optional<time_point> pausedUntil(const service_name &service, time_point now) const;
+    // Returns the earliest end of a pause if every endpoint of the service that can serve wants one, of those in data centres that are allowed.
+    std::optional<time_point> pausedUntil(const service_name &service, time_point now, const data_centre_filter &allowed = {}) const;
     // Returns what other VMs are told of leaving endpoints: what is new, or all that the directory lists as ready when it is to be refreshed.
     std::vector<leaving_endpoint> leavingReports(bool refresh, time_point now) const;
     std::size_t leavingEndpoints() const { return m_leavingRuns.size(); }
--- a/src/endpoint_ways.cpp
+++ b/src/endpoint_ways.cpp
@@ -233,16 +233,33 @@
     return near;
 }
 
-std::optional<std::string> endpoint_ways::chooseProxy(std::uint64_t seed, time_point now) const
+// Returns the addresses of the VMs in data centres that are allowed. Of VMs that a proxy has named, the data centre is not known.
+std::set<std::string> endpoint_ways::membersIn(const data_centre_filter &allowed) const
 {
-    const auto working = workingProxies(now);
+    std::set<std::string> addresses;
+    for (const auto &member : m_fleet.otherMembers()) {
+        if (allowed(member.dataCentre)) {
+            addresses.insert(member.address);
+        }
+    }
+    return addresses;
+}
+
+std::optional<std::string> endpoint_ways::chooseProxy(std::uint64_t seed, time_point now, const data_centre_filter &allowed) const
+{
+    const auto members = allowed ? membersIn(allowed) : std::set<std::string>{};
+    const auto isExcluded = [&](const std::string &address) { return allowed && !members.contains(address); };
+    auto working = workingProxies(now);
+    std::erase_if(working, isExcluded);
     if (!working.empty()) {
         return working[seed % working.size()];
     }
-    if (m_cutOffAt && now - *m_cutOffAt > searchTime) {
+    if (!allowed && m_cutOffAt && now - *m_cutOffAt > searchTime) {
         return std::nullopt; // The probes go on looking for one.
     }
-    const auto untried = untriedProxies(now);
+    // The probes end when two proxies of any region are known, so that a request with a filter tries those of its own.
+    auto untried = untriedProxies(now);
+    std::erase_if(untried, isExcluded);
     return untried.empty() ? std::nullopt : std::optional(untried.front());
 }
 
--- a/src/endpoint_ways.hpp
+++ b/src/endpoint_ways.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,8 @@
     bool isCutOff() const { return m_cutOffAt.has_value(); }
     // Returns whether this VM reaches no endpoint, as no proxy helps either.
     bool isIsolated(time_point now) const { return isCutOff() && !chooseProxy(0, now); }
-    // Returns the address of a proxy, or nothing if none is known or all have failed lately.
-    std::optional<std::string> chooseProxy(std::uint64_t seed, time_point now) const;
+    // Returns the address of a proxy, or nothing if none is known or all have failed lately. With a filter, it is one in a data centre that is allowed.
+    std::optional<std::string> chooseProxy(std::uint64_t seed, time_point now, const data_centre_filter &allowed = {}) const;
 
     // Returns the probes that are due: of endpoints whose way is lost, to notice that it is back, and of proxies, so that two are known to work.
     std::vector<probe_endpoint> probes(time_point now);
@@ -67,6 +68,7 @@
     std::optional<time_point> firstFailure(std::optional<time_point> endpoint_entry::*failedAt, time_point now) const;
     std::vector<std::string> workingProxies(time_point now) const;
     std::vector<std::string> untriedProxies(time_point now) const;
+    std::set<std::string> membersIn(const data_centre_filter &allowed) const;
     bool hasFailed(const std::string &address, time_point now) const;
     void forgetLosses();
 
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -48,7 +48,9 @@
     std::int64_t slots = 1;
     auto holdTime = std::max<duration>(request.holdTime, std::chrono::milliseconds{1});
     auto candidates = plainCandidates(request.service, now);
-    std::erase_if(candidates, [&](const auto *candidate) { return request.version && candidate->info.version != *request.version; });
+    std::erase_if(candidates, [&](const auto *candidate) {
+        return (request.version && candidate->info.version != *request.version) || (request.bound && request.excluded.contains(candidate->info.name));
+    });
     for (const auto *candidate : candidates) {
         slots += candidate->info.slots;
         holdTime = std::max(holdTime, candidate->endpointStatistics.meanHoldTime());
@@ -138,13 +140,11 @@
             }
             const auto request = *it;
             const auto placement = choose(request, now);
-            if (!placement && request.version) {
-                continue; // Endpoints of other versions may have room for the requests behind it.
+            if (placement && apply(request, *placement)) {
+                remove(owner);
+            } else if (!request.bound && !(request.version && !placement)) {
+                break; // Otherwise, endpoints of other versions or regions may have room for the requests behind it.
             }
-            if (!placement || !apply(request, *placement)) {
-                break;
-            }
-            remove(owner);
         }
     }
 }
--- a/src/placer.hpp
+++ b/src/placer.hpp
@@ -44,6 +44,7 @@
     duration maxEventGap{};
     duration holdTime{}; // Time for which a request holds its place, as its VM has seen it.
     std::set<endpoint_name> excluded;
+    bool bound = false; // The excluded endpoints are outside the homes of the request.
     std::optional<software_version> version; // Version that the serving endpoint has to have.
     std::uint64_t seed = 0;
 };
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -241,15 +241,20 @@
 placement_request relay_requests::placementRequestOf(const relay_entry &entry) const
 {
     const auto *const service = entry.table->service(entry.service);
+    const auto homes = homesOf(entry);
     duration holdTime{};
+    auto excluded = entry.triedEndpoints;
     for (const auto *endpoint : m_components.endpoints.entriesOf(entry.service)) {
         holdTime = std::max(holdTime, endpoint->endpointStatistics.meanHoldTime());
+        if (!homes.allow(endpoint->info.dataCentre)) {
+            excluded.insert(endpoint->info.name);
+        }
     }
     auto version = entry.version;
     // While the directory takes no records, streams begin where they need none.
     if (!version && entry.isStream() && entry.route->resumable && !m_components.versions.canRecord(m_components.clock.now())) {
         version = m_components.versions.defaultVersion(entry.service);
-        if (version && !m_components.endpoints.hasVersion(entry.service, *version, m_components.clock.now())) {
+        if (version && !isServed(entry, version)) {
             version.reset();
         }
     }
@@ -266,7 +271,8 @@
             .latest = callerDeadlineOf(entry),
             .maxEventGap = entry.route->gapObjective,
             .holdTime = holdTime,
-            .excluded = entry.triedEndpoints,
+            .excluded = std::move(excluded),
+            .bound = homes.bind(),
             .version = std::move(version),
             .seed = stableHash(entry.request.payload->id)};
 }
@@ -274,7 +280,7 @@
 bool relay_requests::place(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    if (now >= entry.deadline || m_components.ways.isIsolated(now)) {
+    if (now >= entry.deadline || isIsolated(entry)) {
         return false; // After the deadline, the tick that ends the request is late.
     }
     const auto request = placementRequestOf(entry);
@@ -328,7 +334,7 @@
 bool relay_requests::refusePaused(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    const auto until = m_components.endpoints.pausedUntil(entry.service, now);
+    const auto until = m_components.endpoints.pausedUntil(entry.service, now, filterOf(entry));
     if (!until || entry.headSent) {
         return false;
     }
@@ -343,17 +349,53 @@
 // Refuses a request at once if this VM reaches no endpoint, with or without a proxy.
 bool relay_requests::refuseIsolated(relay_entry &entry)
 {
-    if (!m_components.ways.isIsolated(m_components.clock.now())) {
+    if (!isIsolated(entry)) {
+        return false;
+    }
+    const auto *const detail = homesOf(entry).bind() ? "neither this VM nor any other one in the homes that it can ask reaches the endpoints"
+                                                     : "neither this VM nor any other one that it can ask reaches the endpoints";
+    failRequest(entry, failure::NoEndpoint, outcome::NotRun, detail);
+    return true;
+}
+
+data_centre_filter relay_requests::filterOf(const relay_entry &entry) const
+{
+    const auto homes = homesOf(entry);
+    return homes.bind() ? data_centre_filter([homes](const data_centre_name &dataCentre) { return homes.allow(dataCentre); }) : data_centre_filter{};
+}
+
+bool relay_requests::isServed(const relay_entry &entry, const std::optional<software_version> &version) const
+{
+    const auto now = m_components.clock.now();
+    const auto homes = homesOf(entry);
+    const auto endpoints = m_components.endpoints.entriesOf(entry.service);
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto *endpoint) {
+        const auto &info = endpoint->info;
+        return info.role != endpoint_role::Prefill && endpoint->usable(now) && homes.allow(info.dataCentre) && (!version || info.version == *version);
+    });
+}
+
+bool relay_requests::isIsolated(const relay_entry &entry) const
+{
+    return m_components.ways.isCutOff() && !m_components.ways.chooseProxy(0, m_components.clock.now(), filterOf(entry));
+}
+
+// Refuses a request at once if its service has no endpoint in its homes.
+bool relay_requests::refuseHomeless(relay_entry &entry)
+{
+    const auto homes = homesOf(entry);
+    if (!homes.bind() || isServed(entry, std::nullopt)) {
         return false;
     }
-    failRequest(entry, failure::NoEndpoint, outcome::NotRun, "neither this VM nor any other one that it can ask reaches the endpoints");
+    ++m_components.metrics.homeRefusals;
+    failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is in the homes " + homes.text());
     return true;
 }
 
 // Places a new request, or lets it wait in the order of the hub.
 void relay_requests::placeOrWait(relay_entry &entry)
 {
-    if (refuseIsolated(entry) || refusePaused(entry) || askHub(entry)) {
+    if (refuseHomeless(entry) || refuseIsolated(entry) || refusePaused(entry) || askHub(entry)) {
         return;
     }
     if (!admitAlone(entry)) {
@@ -387,7 +429,10 @@
         failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is known");
         return;
     }
-    if (entry.version && !m_components.endpoints.hasVersion(entry.service, *entry.version, now)) {
+    if (refuseHomeless(entry)) {
+        return;
+    }
+    if (entry.version && !isServed(entry, entry.version)) {
         failRequest(entry, failure::StreamVersionGone, outcome::NotRun, "no endpoint has version " + entry.version->value);
         return;
     }
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -50,7 +50,8 @@
                       .excluded = m_components.endpoints.notAccepting(request.service, now),
                       .seed = request.seed,
                       .begun = request.begun,
-                      .version = request.version};
+                      .version = request.version,
+                      .bound = request.bound};
     if (entry.account != nullptr && !entry.limitChecked) {
         ask.account = entry.account->name;
         ask.units = entry.units;
@@ -123,14 +124,23 @@
         refuseOverloaded(entry, grant.expectedWait, "the hub " + grant.from.vm.value + " expects a wait of ");
         return;
     }
+    const auto homes = homesOf(entry);
     const auto usable = [&](const endpoint_name &name) {
         auto *const endpoint = m_components.endpoints.find(name);
-        return endpoint != nullptr && endpoint->acceptsWork(now) && !entry.triedEndpoints.contains(name) ? endpoint : nullptr;
+        const bool isUsable = endpoint != nullptr && endpoint->acceptsWork(now) && !entry.triedEndpoints.contains(name);
+        return isUsable && homes.allow(endpoint->info.dataCentre) ? endpoint : nullptr;
     };
     const model_placement placement{usable(grant.prefill), usable(grant.serving), {}};
     m_components.metrics.placementWait.add(now - entry.arrivedAt);
     const bool hasVersion = placement.decode != nullptr && (!entry.version || placement.decode->info.version == *entry.version);
-    if (now < entry.deadline && !m_components.ways.isIsolated(now) && hasVersion && (grant.prefill.empty() || placement.prefill != nullptr)) {
+    // The hub may know an endpoint that this VM does not. It would grant it again and again to a request that has to stay in its homes.
+    for (const auto &name : {grant.prefill, grant.serving}) {
+        const auto *const endpoint = m_components.endpoints.find(name);
+        if (homes.bind() && !name.empty() && (endpoint == nullptr || !homes.allow(endpoint->info.dataCentre))) {
+            entry.triedEndpoints.insert(name);
+        }
+    }
+    if (now < entry.deadline && !isIsolated(entry) && hasVersion && (grant.prefill.empty() || placement.prefill != nullptr)) {
         apply(entry, placement);
         scheduleWakeup(entry);
     } else if (place(entry)) {
@@ -156,6 +166,7 @@
         .maxEventGap = ask.maxEventGap,
         .holdTime = ask.holdTime,
         .excluded = {ask.excluded.begin(), ask.excluded.end()},
+        .bound = ask.bound,
         .version = ask.version,
         .seed = ask.seed};
     if (ask.cancelled) {
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -79,7 +79,8 @@
         ++m_components.metrics.dispatches;
         entry.machine.apply(relay_event::sent{});
     }
-    const auto proxy = m_components.ways.isLost(endpoint) ? m_components.ways.chooseProxy(stableHash(entry.request.payload->id), now) : std::nullopt;
+    const auto proxy =
+        m_components.ways.isLost(endpoint) ? m_components.ways.chooseProxy(stableHash(entry.request.payload->id), now, filterOf(entry)) : std::nullopt;
     entry.attempt = relay_attempt{number,
                                   endpoint.info.name,
                                   endpoint.announcements,
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -23,6 +23,7 @@
             {"asks_answered", asksAnswered},
             {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
+            {"home_refusals", homeRefusals},
             {"endpoint_pauses", pauses},
             {"endpoint_cold_statements", coldStatements},
             {"endpoint_cold_unknown", coldUnknown},
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -29,6 +29,7 @@
     std::uint64_t asksAnswered = 0; // Asks of other VMs.
     std::uint64_t endpointCrashes = 0; // Endpoints that ended while they were answering, as seen by this VM.
     std::uint64_t proxiedDispatches = 0; // Dispatches through another VM.
+    std::uint64_t homeRefusals = 0; // Requests whose service has no endpoint in their homes.
     std::uint64_t pauses = 0; // Pauses that endpoints asked this VM for.
     std::uint64_t coldStatements = 0; // Answers that stated a longer cold time than was known.
     std::uint64_t coldUnknown = 0; // Announcements of endpoints that did not state, or not readably, how long they stay cold.
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -439,10 +439,8 @@
 
 bool relay_requests::canPlaceElsewhere(const relay_entry &entry)
 {
-    auto excluded = entry.triedEndpoints;
-    excluded.insert(entry.attempt->endpoint);
     auto request = placementRequestOf(entry);
-    request.excluded = std::move(excluded);
+    request.excluded.insert(entry.attempt->endpoint);
     request.mayPrefill = false;
     return m_components.placement.choose(request, m_components.clock.now()).has_value();
 }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -14,6 +14,7 @@
 #include "event_splitter.hpp"
 #include "fleet_limiter.hpp"
 #include "fleet_view.hpp"
+#include "home_regions.hpp"
 #include "placer.hpp"
 #include "plantainpoint/relay_core.hpp"
 #include "relay_machine.hpp"
@@ -166,7 +167,7 @@
 
     // Ends the requests that are quarantined and that no endpoint has begun to answer.
     void refuseQuarantined();
-    // Ends the streams that wait for an endpoint of a version that has none left.
+    // Ends the streams that wait for an endpoint of a version that has none left, and the requests whose homes have no endpoint left.
     void refuseGoneVersions();
     // Stores the records of streams that have begun, and reads what this VM has to know of versions.
     void exchangeVersions(time_point now);
@@ -216,6 +217,15 @@
     void enqueueOrRefuse(relay_entry &entry);
     bool refusePaused(relay_entry &entry);
     bool refuseIsolated(relay_entry &entry);
+    bool refuseHomeless(relay_entry &entry);
+    // Returns the regions that the request may go to.
+    home_regions homesOf(const relay_entry &entry) const { return {*entry.route, entry.account, m_components.settings.regions}; }
+    // Returns the filter of the data centres that the request may go to, or none if it may go to any.
+    data_centre_filter filterOf(const relay_entry &entry) const;
+    // Returns whether an endpoint in the homes of the request can serve it and has the version, if one is given.
+    bool isServed(const relay_entry &entry, const std::optional<software_version> &version) const;
+    // Returns whether this VM reaches no endpoint, with or without the proxies that the request may use.
+    bool isIsolated(const relay_entry &entry) const;
     void refuseOverloaded(relay_entry &entry, duration expected, std::string_view detail);
     bool askHub(relay_entry &entry);
     void onAskOverdue(relay_entry &entry);
--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -137,16 +137,18 @@
 
 void relay_requests::refuseGoneVersions()
 {
-    const auto now = m_components.clock.now();
     std::vector<caller_id> found;
     for (const auto &[caller, entry] : m_entries) {
-        const bool waits = entry->machine.stage() == relay_stage::Waiting && entry->version;
-        if (waits && !m_components.endpoints.hasVersion(entry->service, *entry->version, now)) {
+        const bool isBound = entry->version || homesOf(*entry).bind();
+        if (entry->machine.stage() == relay_stage::Waiting && isBound && !isServed(*entry, entry->version)) {
             found.push_back(caller);
         }
     }
     for (const auto caller : found) {
         auto &entry = *m_entries.at(caller);
+        if (refuseHomeless(entry)) {
+            continue;
+        }
         failRequest(entry, failure::StreamVersionGone, outcome::NotRun, "no endpoint has version " + entry.version->value + " any more");
     }
 }
--- a/test/endpoint_terms_codec_test.cpp
+++ b/test/endpoint_terms_codec_test.cpp
@@ -94,6 +94,22 @@
     BOOST_TEST(std::get<fleet_summary>(*decoded).coldEndpoints.size() == 1U);
 }
 
+// Guards against a hub of an earlier version that reads something else: the ask of a request that is bound to its homes has no new field.
+BOOST_AUTO_TEST_CASE(anAskTellsThatItsRequestIsBoundToItsHomes)
+{
+    const auto askWith = [](bool bound) {
+        return encodeAsk({.from = {{"vm-1"}, 1}, .address = "127.0.0.1:7000", .number = 1, .excluded = {{"desk-1"}}, .bound = bound});
+    };
+    for (const bool bound : {false, true}) {
+        const auto decoded = decodeFleetMessage(askWith(bound));
+        BOOST_REQUIRE(decoded.ok());
+        const auto &ask = std::get<placement_ask>(*decoded);
+        BOOST_TEST(ask.bound == bound);
+        BOOST_TEST((ask.excluded == std::vector<endpoint_name>{{"desk-1"}}));
+    }
+    BOOST_TEST(nlohmann::json::from_cbor(askWith(true).substr(1)).size() == nlohmann::json::from_cbor(askWith(false).substr(1)).size());
+}
+
 BOOST_AUTO_TEST_CASE(anAskTellsThatTheCallerHasAPartOfItsAnswer)
 {
     for (const bool begun : {false, true}) {
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -168,6 +168,29 @@
     BOOST_TEST(!hasUnreadableColdTime(workerEntry()));
 }
 
+// Guards against a request that leaves its homes because a list is read wrongly.
+BOOST_AUTO_TEST_CASE(homeRegionsAreDecoded)
+{
+    const auto configWith = [](const std::string &homes) {
+        return decodeConfiguration(R"({"version":1,"routes":[{"host":"a.example","path_prefix":"/","kind":"safe","service":"desk")" + homes
+                                   + R"(}],"services":[],"tenants":[{"name":"t1","api_keys":[])" + homes + "}]}");
+    };
+    const auto config = configWith(R"(,"home_regions":["north","south"])");
+    BOOST_REQUIRE(config.ok());
+    const std::vector<region_name> expected{{"north"}, {"south"}};
+    BOOST_TEST((config->routes[0].homes == expected));
+    BOOST_TEST((config->accounts[0].homes == expected));
+    for (const auto *homes : {"", R"(,"home_regions":[])", R"(,"home_regions":null)"}) {
+        const auto without = configWith(homes);
+        BOOST_REQUIRE(without.ok());
+        BOOST_TEST(without->routes[0].homes.empty());
+        BOOST_TEST(without->accounts[0].homes.empty());
+    }
+    for (const auto *homes : {R"(,"home_regions":"north")", R"(,"home_regions":[3])", R"(,"home_regions":[""])", R"(,"home_regions":{})"}) {
+        BOOST_TEST((failureOf(configWith(homes).status()) == failure::InvalidConfiguration), homes);
+    }
+}
+
 // Guards against pages with broken framing, and against records that are not keyed records being read as such.
 BOOST_AUTO_TEST_CASE(logPagesAreChecked)
 {
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -55,8 +56,8 @@
 }
 
 struct relay_fixture {
-    relay_fixture()
-        : core({.self = {{"vm-1"}, 1}, .dataCentre = {"dc-a"}, .peerAddress = "127.0.0.1:7000", .directPrefillLimit = {}}, clock)
+    explicit relay_fixture(const std::map<data_centre_name, region_name> &regions = {})
+        : core({.self = {{"vm-1"}, 1}, .dataCentre = {"dc-a"}, .regions = regions, .peerAddress = "127.0.0.1:7000", .directPrefillLimit = {}}, clock)
     {
         clock.advance(std::chrono::hours{1});
         core.handle(members_read{});
--- a/test/relay_options_test.cpp
+++ b/test/relay_options_test.cpp
@@ -53,4 +53,31 @@
     BOOST_TEST((load("")->core.grace == milliseconds{8000}));
 }
 
+// Guards against a VM that knows no regions, or does not start, because of the way in which the platform renders them.
+BOOST_AUTO_TEST_CASE(regionsAreReadAsAPlatformRendersThem)
+{
+    using table = std::map<data_centre_name, region_name>;
+    const auto regionsOf = [&](const std::string &settings) {
+        const auto options = load(settings);
+        BOOST_TEST(options.ok(), settings);
+        return options.ok() ? options->core.regions : table{{{"failed"}, {"failed"}}};
+    };
+    const table both{{{"a"}, {"north"}}, {{"b"}, {"south"}}};
+    BOOST_TEST((regionsOf("region: \"north\"\nregions: [{\"name\":\"a\",\"region\":\"north\"},{\"name\":\"b\",\"region\":\"south\",\"x\":[1]}]\n") == both));
+    BOOST_TEST((regionsOf("regions: {\"a\":\"north\",\"b\":\"south\"}\n") == both));
+    BOOST_TEST((regionsOf("regions: {\"a\":{\"region\":\"north\"},\"b\":{\"region\":\"south\"}}\n") == both));
+    BOOST_TEST((regionsOf("region: north\n") == table{{{"a"}, {"north"}}}));
+    for (const auto *settings : {"",
+                                 "region: \"\"\nregions: []\n",
+                                 "region:\nregions:\n",
+                                 "region: null\nregions: null\n",
+                                 "region: \"null\"\nregions: \"\"\n",
+                                 "region: \"{{region}}\"\nregions: \"{{zones|json}}\"\n",
+                                 "region: \"{{region}}\"\nregions: {{zones|json}}\n",
+                                 "regions: 7\n",
+                                 "regions: [1, {\"name\":[]}, {\"name\":\"b\"}, {\"name\":\"b\",\"region\":\"\"}, {\"name\":\"b\",\"region\":null}]\n"}) {
+        BOOST_TEST(regionsOf(settings).empty(), settings);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -44,6 +44,7 @@
         double loss = 0;
         unsigned seed = 1;
         double limitTolerance = 0;
+        std::map<data_centre_name, region_name> regions = {};
     };
 
     struct vm {
@@ -105,6 +106,7 @@
         each.cutFromDirectory = cut;
         each.core = std::make_unique<relay_core>(relay_settings{.self = {each.info.vm, ++m_incarnation},
                                                                 .dataCentre = each.info.dataCentre,
+                                                                .regions = m_settings.regions,
                                                                 .peerAddress = each.info.address,
                                                                 .capacity = each.info.capacity,
                                                                 .limitTolerance = m_settings.limitTolerance,
