--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -144,7 +144,9 @@
     return out;
 }
 
-// Encodes loads, waiting requests, changed roles, admissions, leaving endpoints and evacuations, which both messages carry.
+constexpr std::size_t coldIndex = 6; // Of the cold endpoints in the totals. Element 5 is that of the evacuations.
+
+// Encodes loads, waiting requests, changed roles, admissions, leaving and cold endpoints and evacuations, which both messages carry.
 template<class Message>
 json encodeTotals(const Message &message)
 {
@@ -170,6 +172,14 @@
     if (!message.evacuations.empty()) {
         out.push_back(encodeList(message.evacuations, encodeEvacuation));
     }
+    if (!message.coldEndpoints.empty()) {
+        while (out.size() < coldIndex) {
+            out.push_back(json::array());
+        }
+        out.push_back(encodeList(message.coldEndpoints, [](const auto &endpoint) {
+            return json{endpoint.name.value, endpoint.startedAt, std::chrono::ceil<milliseconds>(endpoint.left).count()};
+        }));
+    }
     return out;
 }
 
@@ -208,6 +218,12 @@
     if (in.size() > evacuationsIndex) {
         message.evacuations = decodeList<evacuation>(in.at(evacuationsIndex), decodeEvacuation);
     }
+    if (in.size() > coldIndex) {
+        message.coldEndpoints = decodeList<cold_endpoint>(in.at(coldIndex), [](const json &endpoint) {
+            return cold_endpoint{
+                {endpoint.at(0).get<std::string>()}, wholeNumber<std::int64_t>(endpoint.at(1)), milliseconds{wholeNumber<std::uint32_t>(endpoint.at(2))}};
+        });
+    }
 }
 
 json encodeTraits(const std::vector<request_trait> &traits)
@@ -353,6 +369,7 @@
     ask.maxEventGap = readMicroseconds(in.at(14));
     ask.holdTime = readMicroseconds(in.at(15));
     ask.excluded = decodeList<endpoint_name>(in.at(16), [](const json &name) { return endpoint_name{name.get<std::string>()}; });
+    ask.bound = std::erase_if(ask.excluded, [](const auto &name) { return name.empty(); }) > 0;
     ask.seed = wholeNumber<std::uint64_t>(in.at(17));
     ask.account.value = in.at(18).get<std::string>();
     ask.units = in.at(19).get<double>();
@@ -477,6 +494,11 @@
             tokens.push_back(*ask.tokens->likelyOutput);
         }
     }
+    // An empty name among the excluded ones says that the request is bound to its homes. Hubs of an earlier version look for no endpoint of this name.
+    auto excluded = ask.excluded;
+    if (ask.bound) {
+        excluded.emplace_back();
+    }
     json out{format,
              ask.from.vm.value,
              ask.from.number,
@@ -493,7 +515,7 @@
              toMicroseconds(ask.timeLeft),
              toMicroseconds(ask.maxEventGap),
              toMicroseconds(ask.holdTime),
-             encodeList(ask.excluded, [](const auto &name) { return json(name.value); }),
+             encodeList(excluded, [](const auto &name) { return json(name.value); }),
              ask.seed,
              ask.account.value,
              ask.units,
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -38,6 +38,7 @@
     std::vector<limit_report> limits;
     std::vector<leaving_endpoint> leavingEndpoints;
     std::vector<evacuation> evacuations;
+    std::vector<cold_endpoint> coldEndpoints;
     std::optional<default_versions> defaults;
 };
 
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -60,7 +60,9 @@
     std::int64_t slots = 1;
     auto holdTime = std::max<duration>(request.holdTime, std::chrono::milliseconds{1});
     auto candidates = plainCandidates(request.service, now);
-    std::erase_if(candidates, [&](const auto *candidate) { return request.version && candidate->info.version != *request.version; });
+    std::erase_if(candidates, [&](const auto *candidate) {
+        return (request.version && candidate->info.version != *request.version) || (request.bound && request.excluded.contains(candidate->info.name));
+    });
     for (const auto *candidate : candidates) {
         slots += candidate->info.slots;
         holdTime = std::max(holdTime, candidate->endpointStatistics.meanHoldTime());
@@ -72,11 +74,16 @@
         return bySlots;
     }
     double perSecond = 0;
+    double longest = longestExpectedWait;
     for (const auto *candidate : candidates) {
-        perSecond += candidate->throughput(holdTime);
+        perSecond += candidate->throughput(holdTime, now);
+        // Only its slots bound an endpoint that has become warm.
+        if (candidate->warmup.isCold(now) && !candidate->pace.rate()) {
+            longest = std::min(longest, std::chrono::duration<double>(candidate->warmup.coldUntil() - now).count());
+        }
     }
     // The requests that wait at other VMs use parts of the limits of their own.
-    const double seconds = std::min(static_cast<double>(here + 1) / std::max(perSecond, lowestThroughput), longestExpectedWait);
+    const double seconds = std::min(static_cast<double>(here + 1) / std::max(perSecond, lowestThroughput), longest);
     return std::max(bySlots, std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds)));
 }
 
@@ -170,13 +177,11 @@
             }
             const auto request = *it;
             const auto placement = choose(request, now);
-            if (!placement && request.version) {
-                continue; // Endpoints of other versions may have room for the requests behind it.
-            }
-            if (!placement || !apply(request, *placement)) {
-                break;
+            if (placement && apply(request, *placement)) {
+                remove(owner);
+            } else if (!request.bound && !(request.version && !placement)) {
+                break; // Otherwise, endpoints of other versions or regions may have room for the requests behind it.
             }
-            remove(owner);
         }
     }
 }
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -308,15 +308,20 @@
 placement_request relay_requests::placementRequestOf(const relay_entry &entry) const
 {
     const auto *const service = entry.table->service(entry.service);
+    const auto homes = homesOf(entry);
     duration holdTime{};
+    auto excluded = entry.triedEndpoints;
     for (const auto *endpoint : m_components.endpoints.entriesOf(entry.service)) {
         holdTime = std::max(holdTime, endpoint->endpointStatistics.meanHoldTime());
+        if (!homes.allow(endpoint->info.dataCentre)) {
+            excluded.insert(endpoint->info.name);
+        }
     }
     auto version = entry.version;
     // While the directory takes no records, streams begin where they need none.
     if (!version && entry.isStream() && entry.route->resumable && !m_components.versions.canRecord(m_components.clock.now())) {
         version = m_components.versions.defaultVersion(entry.service);
-        if (version && !m_components.endpoints.hasVersion(entry.service, *version, m_components.clock.now())) {
+        if (version && !isServed(entry, version)) {
             version.reset();
         }
     }
@@ -333,7 +338,8 @@
             .latest = callerDeadlineOf(entry),
             .maxEventGap = entry.route->gapObjective,
             .holdTime = holdTime,
-            .excluded = entry.triedEndpoints,
+            .excluded = std::move(excluded),
+            .bound = homes.bind(),
             .version = std::move(version),
             .seed = stableHash(entry.request.payload->id)};
 }
@@ -341,7 +347,7 @@
 bool relay_requests::place(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    if (now >= entry.deadline || m_components.ways.isIsolated(now) || m_components.endpoints.isHeld(now)) {
+    if (now >= entry.deadline || isIsolated(entry) || m_components.endpoints.isHeld(now)) {
         return false; // After the deadline, the tick that ends the request is late.
     }
     const auto request = placementRequestOf(entry);
@@ -361,7 +367,7 @@
             decode = chooseDecode(decodes, *request.engine, *request.tokens, context);
         }
         if (decode != nullptr) {
-            decode->pace.take(now);
+            decode->takePermit(now);
             send(entry, *decode, dispatch_kind::Decode, 0);
             return true;
         }
@@ -391,6 +397,7 @@
     entry.prefillTried = true;
     entry.reservation = ++m_lastAttempt;
     entry.reservationEndpoint = placement.decode->info.name;
+    entry.reservationWasCold = placement.decode->warmup.isCold(m_components.clock.now());
     const auto memory = expectedMemory(*entry.request.tokens, m_components.speeds);
     placement.decode->open.emplace(*entry.reservation, open_work{m_components.clock.now(), 0, memory, true});
     send(entry, *placement.prefill, dispatch_kind::Prefill, entry.request.tokens->prompt);
@@ -400,7 +407,7 @@
 bool relay_requests::refusePaused(relay_entry &entry)
 {
     const auto now = m_components.clock.now();
-    const auto until = m_components.endpoints.pausedUntil(entry.service, now);
+    const auto until = m_components.endpoints.pausedUntil(entry.service, now, filterOf(entry));
     if (!until || entry.headSent) {
         return false;
     }
@@ -415,10 +422,46 @@
 // Refuses a request at once if this VM reaches no endpoint, with or without a proxy.
 bool relay_requests::refuseIsolated(relay_entry &entry)
 {
-    if (!m_components.ways.isIsolated(m_components.clock.now())) {
+    if (!isIsolated(entry)) {
+        return false;
+    }
+    const auto *const detail = homesOf(entry).bind() ? "neither this VM nor any other one in the homes that it can ask reaches the endpoints"
+                                                     : "neither this VM nor any other one that it can ask reaches the endpoints";
+    failRequest(entry, failure::NoEndpoint, outcome::NotRun, detail);
+    return true;
+}
+
+data_centre_filter relay_requests::filterOf(const relay_entry &entry) const
+{
+    const auto homes = homesOf(entry);
+    return homes.bind() ? data_centre_filter([homes](const data_centre_name &dataCentre) { return homes.allow(dataCentre); }) : data_centre_filter{};
+}
+
+bool relay_requests::isServed(const relay_entry &entry, const std::optional<software_version> &version) const
+{
+    const auto now = m_components.clock.now();
+    const auto homes = homesOf(entry);
+    const auto endpoints = m_components.endpoints.entriesOf(entry.service);
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto *endpoint) {
+        const auto &info = endpoint->info;
+        return info.role != endpoint_role::Prefill && endpoint->usable(now) && homes.allow(info.dataCentre) && (!version || info.version == *version);
+    });
+}
+
+bool relay_requests::isIsolated(const relay_entry &entry) const
+{
+    return m_components.ways.isCutOff() && !m_components.ways.chooseProxy(0, m_components.clock.now(), filterOf(entry));
+}
+
+// Refuses a request at once if its service has no endpoint in its homes.
+bool relay_requests::refuseHomeless(relay_entry &entry)
+{
+    const auto homes = homesOf(entry);
+    if (!homes.bind() || isServed(entry, std::nullopt)) {
         return false;
     }
-    failRequest(entry, failure::NoEndpoint, outcome::NotRun, "neither this VM nor any other one that it can ask reaches the endpoints");
+    ++m_components.metrics.homeRefusals;
+    failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is in the homes " + homes.text());
     return true;
 }
 
@@ -464,7 +507,7 @@
 // Places a new request, or lets it wait in the order of the hub.
 void relay_requests::placeOrWait(relay_entry &entry)
 {
-    if (refuseIsolated(entry) || refusePaused(entry) || refuseEvacuated(entry) || askHub(entry)) {
+    if (refuseHomeless(entry) || refuseIsolated(entry) || refusePaused(entry) || refuseEvacuated(entry) || askHub(entry)) {
         return;
     }
     if (!admitAlone(entry)) {
@@ -501,7 +544,10 @@
         failRequest(entry, failure::NoEndpoint, outcome::NotRun, "no endpoint of " + entry.service.value + " is known");
         return;
     }
-    if (entry.version && !m_components.endpoints.hasVersion(entry.service, *entry.version, now)) {
+    if (refuseHomeless(entry)) {
+        return;
+    }
+    if (entry.version && !isServed(entry, entry.version)) {
         failRequest(entry, failure::StreamVersionGone, outcome::NotRun, "no endpoint has version " + entry.version->value);
         return;
     }
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -42,6 +42,12 @@
     return " open=" + std::to_string(entry.open.size()) + " last_sent_ms=" + age;
 }
 
+// Returns the time until the endpoint is warm, or nothing if it is.
+std::string coldText(const endpoint_entry &entry, time_point now)
+{
+    return entry.warmup.isCold(now) ? " cold_ms=" + millisText(entry.warmup.coldUntil() - now) : std::string{};
+}
+
 } // namespace
 
 struct relay_core::state {
@@ -128,6 +134,7 @@
     const auto previousVersion = components.routes ? components.routes->version() : 0;
     components.routes = std::make_shared<route_table>(read.config);
     components.limiter.setAccounts(read.config->accounts, components.clock.now());
+    components.endpoints.setColdTerms(read.config->services, components.clock.now());
     updateVersions();
     components.logMessage(severity::Info,
                           log_component::Log,
@@ -169,6 +176,9 @@
             continue;
         }
         changed = true;
+        if (!each.inForce) {
+            components.endpoints.onMayBeCold(each.dataCentre, now);
+        }
         const auto [endpoints, open] = components.endpoints.countIn(each.dataCentre);
         const auto age = each.age == duration::max() ? std::string("-") : millisText(each.age);
         components.logMessage(severity::Warning,
@@ -178,7 +188,7 @@
                                   + " endpoints=" + std::to_string(endpoints) + " open=" + std::to_string(open) + " from=\"" + from + '"');
     }
     if (changed) {
-        components.endpoints.setEvacuated(components.evacuated.closing(), now);
+        components.endpoints.setEvacuated(components.evacuated.closing());
         closeEvacuated(now);
     }
 }
@@ -239,6 +249,7 @@
         const bool withdrawn = entry->withdrawnAt.has_value();
         if (!withdrawn) {
             requests.onAnnounced(entry->info);
+            components.metrics.coldUnknown += entry->warmup.isPaced() && !entry->info.coldLeft ? 1 : 0;
         }
         components.logMessage(severity::Info,
                               log_component::Monitor,
@@ -247,7 +258,8 @@
                                   + (withdrawn                                            ? "withdrawn"
                                      : entry->info.condition == endpoint_condition::Ready ? "ready"
                                                                                           : "leaving")
-                                  + " directory=" + std::to_string(read.position) + workText(*entry, components.clock.now()));
+                                  + coldText(*entry, components.clock.now()) + " directory=" + std::to_string(read.position)
+                                  + workText(*entry, components.clock.now()));
     }
 }
 
@@ -294,6 +306,7 @@
         each.age = now - resumedAt < lateMessagesTime ? duration::max() : each.age;
     }
     applyEvacuations(known, "vm=" + message.from.vm.value);
+    components.endpoints.onColdReports(message.coldEndpoints, now);
     for (const auto &endpoint : message.leavingEndpoints) {
         if (components.endpoints.onLeaving(endpoint, now)) {
             components.logMessage(severity::Info,
@@ -461,6 +474,7 @@
                       .limits = components.endpoints.limitReports(refreshes, now),
                       .leavingEndpoints = components.endpoints.leavingReports(refreshes, now),
                       .evacuations = components.evacuated.all(now),
+                      .coldEndpoints = components.endpoints.coldReports(now),
                       .defaults = refreshes ? components.versions.defaults(now) : std::nullopt};
     if (now - lastChangeAt < changesRepeatTime) {
         result.changesFrom = directoryState.changesFrom;
@@ -781,6 +795,7 @@
             {"limited_endpoints", components.endpoints.limitedEndpoints()},
             {"leaving_endpoints", components.endpoints.leavingEndpoints()},
             {"evacuations", std::move(evacuated)},
+            {"cold_endpoints", components.endpoints.coldEndpoints(now)},
             {"endpoints_through_proxies", components.ways.lostWays()},
             {"cut_off", components.ways.isCutOff()},
             {"vms_heard", components.fleet.heard(now)},
@@ -805,6 +820,7 @@
     result["vms_heard"] = m_state->components.fleet.heard(now);
     result["vms"] = m_state->components.fleet.members(now);
     result["quarantined_requests"] = m_state->components.quarantine.active(now).size();
+    result["cold_endpoints"] = m_state->components.endpoints.coldEndpoints(now);
     result["hub"] = m_state->components.fleet.isHub();
     result["evacuations"] = m_state->components.evacuated.inForce();
     return result;
--- a/src/relay_placement.hpp
+++ b/src/relay_placement.hpp
@@ -69,12 +69,12 @@
     duration expected{}; // Expected time to the first event.
     load_knowledge knowledge = load_knowledge::Counts; // Of the serving endpoint.
 
-    // Counts the requests against the limits that the endpoints name, and among those that this VM has placed.
+    // Counts the requests against the limits that the endpoints name and against the pace of cold ones, and among those that this VM has placed.
     void takePermits(time_point now) const
     {
         for (auto *endpoint : {prefill, decode}) {
             if (endpoint != nullptr) {
-                endpoint->pace.take(now);
+                endpoint->takePermit(now);
                 endpoint->holdTime.onPlaced(now);
             }
         }
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -47,6 +47,7 @@
         double loss = 0;
         unsigned seed = 1;
         double limitTolerance = 0;
+        std::map<data_centre_name, region_name> regions = {};
     };
 
     struct vm {
@@ -119,6 +120,7 @@
         each.cutFromDirectory = cut;
         each.core = std::make_unique<relay_core>(relay_settings{.self = {each.info.vm, ++m_incarnation},
                                                                 .dataCentre = each.info.dataCentre,
+                                                                .regions = m_settings.regions,
                                                                 .peerAddress = each.info.address,
                                                                 .capacity = each.info.capacity,
                                                                 .evacuationsExpected = true,
