Bound the framing of chunked bodies whose chunks arrive in parts

What callers saw: nothing; the bound on the framing of a chunked body did not take effect while each read ended inside a chunk, and a chunked body over the whole budget was refused with 503, as if it could be held later.

Cause: the check came after the parser had reported that it needs more bytes. A body was too large only if the budget had no room for it alone, and buffers of other connections always take some.

Change: the check comes first. A body within 64 KB of the part for large bodies, with the buffers of its connection, is too large (413).

Evidence: held_bytes/framingIsBounded and held_bytes/bodiesLargerThanTheBudgetAreTooLarge failed before; now the 70 test cases of broken_answers, held_bytes, memory_budgets, relay_client, http_server, cut_heads, caller_input, slow_readers, endpoint_proxy and relay_settings_file pass (-O0).

--- a/shell/caller_session.cpp
+++ b/shell/caller_session.cpp
@@ -186,14 +186,14 @@
         const auto size = putBytes(*m_parser, m_input.data(), error);
         m_input.consume(size);
         m_bodyWireSize += isBody ? size : 0;
-        if (error) {
-            break;
-        }
-        if (m_parser->chunked() && m_bodyWireSize > freeFraming + (maxFramingPerByte + 1) * m_parser->get().body().size()) {
+        if (isBody && m_parser->chunked() && m_bodyWireSize > freeFraming + (maxFramingPerByte + 1) * m_parser->get().body().size()) {
             refuseAndClose(
                 makeStatus(failure::BodyTooLarge, "the framing of the body is larger than " + std::to_string(maxFramingPerByte) + " times the body"));
             return;
         }
+        if (error) {
+            break;
+        }
         // The parser stops behind the head until it is eager.
         if (!m_parser->eager() && m_parser->is_header_done()) {
             m_parser->eager(true);
@@ -252,10 +252,10 @@
     return static_cast<std::size_t>(m_parser->content_length().value_or(0));
 }
 
-// Returns whether the body could not be held if there were no others.
+// Returns whether the body could not be held if there were no others but a few small ones.
 bool caller_session::isBodyTooLarge() const
 {
-    return neededMemory() > m_host.memory()->largeBodyLimit();
+    return neededMemory() + m_bufferShare.size() + memory_budget::largeBody > m_host.memory()->largeBodyLimit();
 }
 
 // Stops reading. The system's buffers fill, and the caller stops sending.
