--- a/test/held_bytes.py
+++ b/test/held_bytes.py
@@ -15,6 +15,7 @@
 
 # The crowd and the bounds. MEMORY_MB is the default of the setting memory_mb.
 MEMORY_MB = 110
+SMALLEST_MEMORY_MB = 88  # Of the smallest machine of a deployment.
 DESCRIPTORS = 300
 CALLERS = 120
 BODY_SIZE = 4 * 1024 * 1024  # Bytes. The limit of a body.
@@ -253,6 +254,21 @@
     return faults
 
 
+def check_single(fleet):
+    """Guards against a budget that refuses one request within the limits on the smallest machine."""
+    fleet.start_relay("vm-small", settings=f"memory_mb: {SMALLEST_MEMORY_MB}\n")
+    wait_for("vm-small is ready", lambda: fleet.is_ready("vm-small"), 15.0)
+    process, ports = fleet.relays["vm-small"]
+    headers = {"Host": "shop.example", "X-Request-Id": "single", "X-Deadline-Ms": "14000", "Authorization": "Bearer k-1", "X-Filler": "f" * (HEAD_SIZE - 1000)}
+    status, body, _ = send_request(ports[0], "POST", "/book/1", BODY, headers, ORDINARY_TIME_S)
+    peak = peak_memory_mb(process.pid)
+    print(f"one request of {BODY_SIZE} bytes: status {status}, {body[:10]!r}, at most {peak:.0f} of {SMALLEST_MEMORY_MB} MB")
+    assert status == 200 and body == b"booked:" + BODY[:100], (status, body[:100])
+    assert peak <= SMALLEST_MEMORY_MB, f"{peak:.0f} MB, allowed {SMALLEST_MEMORY_MB} MB"
+    process.kill()
+    process.wait()
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", required=True)
@@ -272,6 +288,8 @@
         config["tenants"][0].update(rate_per_s=1_000_000_000, burst=1_000_000_000)
         fleet.append_to_log("keyed.op", "config", config)
         fleet.append_to_log("keyed.servers", worker.name, {**worker_entry(worker, "desk"), "slots": 200})
+        if not arguments.case and not arguments.without_settings:
+            check_single(fleet)
         faults = []
         for number, case in enumerate(arguments.case or CASES, 1):
             faults += check(fleet, number, case, not arguments.without_settings)
