--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "endpoint_load_estimate.hpp"
-#include "hold_time_estimate.hpp"
 #include "endpoint_warmup.hpp"
+#include "hold_time_estimate.hpp"
 #include "leaving_runs.hpp"
 #include "plantainpoint/clock.hpp"
 #include "plantainpoint/relay.hpp"
