Let the test of waiting requests fail when a bound one holds up others

aRequestThatWaitsForItsHomesHoldsUpNoOther passed without the change of the placer that it is there for: of the requests that are still in time, the newest one comes first, and that was the one without homes. It now sends the request with homes last.

Evidence: with `request.bound` removed from placer::placeWaiting the case fails, and passes with it (one run each).

--- a/test/home_regions_test.cpp
+++ b/test/home_regions_test.cpp
@@ -176,8 +176,9 @@
         sendRequest("/open/1");
     }
     BOOST_REQUIRE(dispatches.size() == 8U);
-    sendRequest("/lookup/1");
+    // Of the requests that are still in time, the newest one comes first.
     sendRequest("/open/1");
+    sendRequest("/lookup/1");
     BOOST_REQUIRE(dispatches.size() == 8U);
     const auto north = std::find_if(dispatches.begin(), dispatches.end(), [](const auto &dispatch) { return dispatch.endpoint.value == "desk-a"; });
     BOOST_REQUIRE((north != dispatches.end()));
