--- a/test/mixed_builds.py
+++ b/test/mixed_builds.py
@@ -25,7 +25,7 @@
 import exceeded_limits
 import joined_versions
 import leaving_endpoints
-from platform_path import HOST, RelayFleet, WorkerHandler, WorkerServer, free_port, make_configuration, send_request, wait_for, worker_entry
+from platform_path import HOST, RelayFleet, WorkerHandler, WorkerServer, make_configuration, send_request, wait_for, worker_entry
 
 BUILDS = ("old", "new")
 # Data centre, processor cores and build of each VM. VMs with more cores take the roles of the fleet first, so that vm-1 reads the store, vm-1
@@ -47,10 +47,24 @@
 CALLERS = 6
 
 
+# Below the range from which the kernel takes the ports of outgoing connections: such a connection may hold the port of a VM that starts again.
+LISTENING_PORTS = range(20000, 30000)
+
+
 def other(build):
     return BUILDS[1 - BUILDS.index(build)]
 
 
+def is_free(port):
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as probe:
+                probe.bind((HOST, port))
+        return True
+    except OSError:
+        return False
+
+
 class MixedFleet(RelayFleet):
     """Starts each VM as the build that `builds` names for it."""
 
@@ -58,12 +72,19 @@
         super().__init__(new_build)
         self.folders = {"new": new_build, "old": old_build}
         self.builds = {name: build or VMS[name][2] for name in names}
-        self.logs = []
+        self.logs, self.taken_ports = [], set()
+
+    def choose_port(self):
+        while True:
+            port = random.choice(LISTENING_PORTS)
+            if port not in self.taken_ports and is_free(port):
+                self.taken_ports.add(port)
+                return port
 
     def start_relay(self, name, ports=None):
         data_centre, cores, _ = VMS[name]
         build = self.builds[name]
-        ports = ports or [free_port() for _ in range(3)]
+        ports = ports or [self.choose_port() for _ in range(3)]
         path = os.path.join(self.folder, f"{name}.yaml")
         with open(path, "w") as settings_file:
             settings_file.write(
