Leave more room below the bound where many VMs share a cold endpoint

What endpoints would get: with 60 VMs that hear no hub, callers that come back together every 3.7 s brought 54 requests into one second of the 56 that a rate of 34 allows.

Cause: the VMs' permits fall at moments that differ, and waves of callers bring some of them together. Below two thirds of a request a second for each VM there are more VMs than the bound has requests.

Change: VMs use 0.6 of their shares from two thirds a second down, instead of from half a request a second down.

The suite endpoint_warmups passed with its own bound.

--- a/src/endpoint_warmup.cpp
+++ b/src/endpoint_warmup.cpp
@@ -9,9 +9,9 @@
 // A cold endpoint gets at most 1.5 times its rate and 5 requests in any second from all VMs. Each VM that places keeps permits for a fifth of a second and one
 // more: the hubs of five data centres then send 1.2 times the rate and 5 requests, and the rest of the bound covers requests that catch up on the way and VMs
 // that change their hub. Below five a second, a permit lapses after that fifth, as dozens of VMs without a hub would otherwise keep one each for the same
-// second. Their permits fall at random times: with 0.6 of the rate where more than some seventy VMs share it, they exceed the bound in less than one second of
-// ten thousand.
-constexpr pace_terms coldPace{.savedSeconds = 0.2, .slowRate = 5, .permitLifetime = 0.2, .sparseRate = 0.5, .sparseFactor = 0.6};
+// second. Below two thirds a second, more VMs share the rate than the bound has requests. Their permits fall at random times, and waves of callers bring
+// some of these times together, so that they use 0.6 of their shares.
+constexpr pace_terms coldPace{.savedSeconds = 0.2, .slowRate = 5, .permitLifetime = 0.2, .sparseRate = 2.0 / 3, .sparseFactor = 0.6};
 
 constexpr duration repeatTime = std::chrono::milliseconds{700}; // A lost message delays the others only.
 // Answers that count the same time down differ by the time that they were on their way.
