Fill the region in the settings of the review's VMs

The review's harness replaces each plain placeholder of deploy/relay.yaml.in and failed on the new one, `{{region}}`, with a missing key. The value is empty, as its VMs need none. The fixture of the relay core has a constructor without arguments again, so that suites may construct it as before.

Evidence: silent_endpoints_test and misdirected_test compile with the fixture (-fsyntax-only). The review itself was not run.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -194,6 +194,7 @@
             **BOUNDS,
             "node": name,
             "zone": "zone-a",
+            "region": "",
             "listen.front": f"{HOST}:{self.listen}",
             "listen.ready": f"{HOST}:{self.ready}",
             "ip": HOST,
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -56,7 +56,11 @@
 }
 
 struct relay_fixture {
-    explicit relay_fixture(const std::map<data_centre_name, region_name> &regions = {})
+    relay_fixture()
+        : relay_fixture(std::map<data_centre_name, region_name>{})
+    {
+    }
+    explicit relay_fixture(const std::map<data_centre_name, region_name> &regions)
         : core({.self = {{"vm-1"}, 1}, .dataCentre = {"dc-a"}, .regions = regions, .peerAddress = "127.0.0.1:7000", .directPrefillLimit = {}}, clock)
     {
         clock.advance(std::chrono::hours{1});
