Test a VM whose state came from a build without evacuations

Callers would have been sent to evacuated data centres by a VM that took the proofs of an earlier build for its own: that build knows no evacuations. The VM reads the directory itself; the test checks that it does at once, and that it takes over no proof.

--- a/test/evacuations_test.cpp
+++ b/test/evacuations_test.cpp
@@ -495,6 +495,27 @@
     BOOST_TEST(core.ready());
 }
 
+// Guards against a VM whose state came from an earlier build, which knows no evacuations, and that takes that build's proofs for its own.
+BOOST_AUTO_TEST_CASE(aVmThatLacksTheEvacuationsReadsThem)
+{
+    core.handle(configuration_read{std::make_shared<const relay_config>(sampleRelayConfig())});
+    announce({endpointNamed("desk-1", "desk")});
+    core.handle(directory_state{.configVersion = 1, .endpointEntries = 1, .position = position, .lastChange = position});
+    collect();
+    advance(seconds{4});
+    core.handle(directory_read_finished{false}); // The next read is due after a pause.
+    core.handle(fleet_heartbeat{.from = {{"vm-2"}, 1},
+                                .sequence = 1,
+                                .address = "127.0.0.1:7001",
+                                .dataCentre = {"dc-a"},
+                                .knowledge = {.configVersion = 1, .position = position, .lastChange = position, .proofAge = milliseconds{100}}});
+    const auto before = directoryReads;
+    advance(milliseconds{1});
+    BOOST_TEST(directoryReads == before + 1);
+    BOOST_TEST(fetchAddresses.size() == 1U);
+    BOOST_TEST(core.status().at("directory_proof_age_ms").is_null());
+}
+
 // Guards against each way on which a request reaches an endpoint of an evacuated data centre.
 BOOST_AUTO_TEST_CASE(noWayLeadsToAClosedEndpoint)
 {
