--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -136,8 +136,17 @@
     return !entry.headSent && !m_components.shuttingDown && m_components.clock.now() + wait <= std::min(latest, entry.deadline);
 }
 
+// Returns the time in which the limit of its account refills what other requests wait for here.
+duration relay_requests::waitBehindOthers(const relay_entry &entry) const
+{
+    const auto found = m_unitsWaitedFor.find(entry.account->name);
+    const auto units = found == m_unitsWaitedFor.end() ? 0.0 : found->second;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(units / std::max(entry.account->rate, 1.0)));
+}
+
 void relay_requests::waitForLimit(relay_entry &entry, duration wait)
 {
+    m_unitsWaitedFor[entry.account->name] += unitsOf(entry);
     entry.limitRetryAt = m_components.clock.now() + wait;
     ++m_components.metrics.limitWaits;
     m_components.logMessage(severity::Info,
@@ -148,9 +157,22 @@
     scheduleWakeup(entry);
 }
 
-void relay_requests::onLimitDue(relay_entry &entry)
+void relay_requests::endLimitWait(relay_entry &entry)
 {
+    if (!entry.limitRetryAt) {
+        return;
+    }
     entry.limitRetryAt.reset();
+    const auto found = m_unitsWaitedFor.find(entry.account->name);
+    found->second -= unitsOf(entry);
+    if (found->second <= 0) {
+        m_unitsWaitedFor.erase(found);
+    }
+}
+
+void relay_requests::onLimitDue(relay_entry &entry)
+{
+    endLimitWait(entry);
     if (const auto wait = admit(entry)) {
         waitForLimitOrRefuse(entry, *wait, "its bucket has not been refilled in time");
     } else {
@@ -255,7 +277,10 @@
     if (refuseQuarantined(*entry)) {
         return;
     }
-    const auto wait = admit(*entry);
+    auto wait = admit(*entry);
+    if (wait) {
+        *wait += waitBehindOthers(*entry);
+    }
     if (wait && !mayWaitForLimit(*entry, *wait)) {
         const auto detail = "account " + entry->account->name.value + " is over its limit: " + std::to_string(std::llround(unitsOf(*entry))) + " units asked, "
                             + std::to_string(std::llround(m_components.limiter.level(entry->account->name))) + " left here";
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -456,6 +456,7 @@
     releaseReservation(entry);
     releaseSource(entry);
     removeFromQueue(entry);
+    endLimitWait(entry);
     withdrawAsk(entry);
     entry.machine.apply(relay_event::ended{});
     const auto caller = entry.request.caller;
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -215,7 +215,9 @@
     bool admitAlone(relay_entry &entry);
     void begin(relay_entry &entry);
     bool mayWaitForLimit(const relay_entry &entry, duration wait) const;
+    duration waitBehindOthers(const relay_entry &entry) const;
     void waitForLimit(relay_entry &entry, duration wait);
+    void endLimitWait(relay_entry &entry);
     void onLimitDue(relay_entry &entry);
     void waitForLimitOrRefuse(relay_entry &entry, duration wait, std::string_view detail);
     void refuseOverLimit(relay_entry &entry, duration wait, std::string_view detail);
@@ -345,6 +347,7 @@
     std::vector<caller_id> m_openLookups; // Requests that wait for the open read.
     std::optional<time_point> m_silenceCheckAt;
     std::map<endpoint_name, open_check> m_openChecks; // Refused checks that proxies are to confirm.
+    std::map<account_name, double> m_unitsWaitedFor; // By the requests that wait for the limits of their accounts.
     bool m_readOpen = false;
     bool m_readsDefaults = false; // The next read includes the default versions.
     time_point m_nextDefaultsRead{};
--- a/test/limit_waits_test.cpp
+++ b/test/limit_waits_test.cpp
@@ -111,6 +111,19 @@
     }
 }
 
+// Guards against requests that wait for units which those before them will take: they are refused when they arrive, not after the wait.
+BOOST_AUTO_TEST_CASE(requestsBehindOthersAreRefusedOnArrival)
+{
+    sendBurst(60);
+    // Ten are served, and the limit refills eight within half of the objective.
+    BOOST_TEST(answers.size() == burst);
+    BOOST_TEST(failures.size() >= 40U);
+    const auto refusedAtOnce = failures.size();
+    runFor(milliseconds{400});
+    BOOST_TEST(failures.size() <= refusedAtOnce + 2);
+    BOOST_TEST(core.openRequests() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(distantUnitsAreNotWaitedFor)
 {
     auto config = sampleRelayConfig(2);
