--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -268,11 +268,6 @@
     const auto now = components.clock.now();
     const bool before = components.endpoints.reachable();
     follower.onReadFinished(finished.succeeded, now);
-    // VMs of an earlier version know no evacuations. While the directory does not answer either, their state is all that can be known.
-    if (!finished.succeeded && components.routes && components.endpoints.known() && !components.evacuated.known()) {
-        components.evacuated.setKnown();
-        components.logMessage(severity::Warning, log_component::Log, "evacuations are not known, as neither the directory nor another VM tells them");
-    }
     if (finished.succeeded && catchUpReadAt) {
         catchUpReadAt.reset();
         components.endpoints.hold(now);
@@ -711,7 +706,9 @@
 bool relay_core::ready() const
 {
     const auto &components = m_state->components;
-    return components.routes && components.endpoints.known() && components.evacuated.known() && !components.shuttingDown;
+    // VMs of an earlier version know no evacuations. While the directory does not answer either, their state is all that can be known.
+    const bool knowsEvacuations = components.evacuated.known() || !components.endpoints.reachable();
+    return components.routes && components.endpoints.known() && knowsEvacuations && !components.shuttingDown;
 }
 
 std::optional<time_point> relay_core::endsAt() const
