--- a/src/home_regions.hpp
+++ b/src/home_regions.hpp
@@ -16,7 +16,7 @@
     // Neither the route nor the regions may be destroyed before this object. The account may be null.
     home_regions(const relay_route &route, const relay_account *account, const std::map<data_centre_name, region_name> &regions)
         : m_route(route.homes)
-        , m_account(account != nullptr ? account->homes : m_none)
+        , m_account(account != nullptr ? account->homes : noHomes)
         , m_regions(regions)
     {
     }
@@ -29,7 +29,7 @@
     std::string text() const;
 
 private:
-    static inline const std::vector<region_name> m_none;
+    static inline const std::vector<region_name> noHomes;
 
     const std::vector<region_name> &m_route;
     const std::vector<region_name> &m_account;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -180,12 +180,13 @@
             components.endpoints.onMayBeCold(each.dataCentre, now);
         }
         const auto [endpoints, open] = components.endpoints.countIn(each.dataCentre);
-        const auto age = each.age == duration::max() ? std::string("-") : millisText(each.age);
-        components.logMessage(severity::Warning,
-                              log_component::Monitor,
-                              "evacuation data_centre=" + each.dataCentre.value + (each.inForce ? " begins" : " ends")
-                                  + " position=" + std::to_string(each.position) + (each.inForce ? " age_ms=" + age : std::string{})
-                                  + " endpoints=" + std::to_string(endpoints) + " open=" + std::to_string(open) + " from=\"" + from + '"');
+        std::string text = "evacuation data_centre=" + each.dataCentre.value + (each.inForce ? " begins" : " ends");
+        text += " position=" + std::to_string(each.position);
+        if (each.inForce) {
+            text += " age_ms=" + (each.age == duration::max() ? std::string("-") : millisText(each.age));
+        }
+        text += " endpoints=" + std::to_string(endpoints) + " open=" + std::to_string(open) + " from=\"" + from + '"';
+        components.logMessage(severity::Warning, log_component::Monitor, std::move(text));
     }
     if (changed) {
         components.endpoints.setEvacuated(components.evacuated.closing());
