Keep waits for limits apart from held requests, and survive requests of no cost

Found by reading the change, not seen by callers. Requests that cost no units and wait at an account whose level is below zero removed the account's entry with the first one, and the second one read past the end of the table, which ends the VM. Requests that wait for a limit and had been queued before were placed at the end of a hold without their units, and once more when their wait was over, which may send a request twice.

Change: the end of a wait allows a missing entry, and requests that wait for a limit are left out when held requests are placed. unit/limit_waits and evacuated_paths pass; neither case has a test of its own yet.

--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -164,6 +164,9 @@
     }
     entry.limitRetryAt.reset();
     const auto found = m_unitsWaitedFor.find(entry.account->name);
+    if (found == m_unitsWaitedFor.end()) {
+        return; // The others that wait take no units.
+    }
     found->second -= unitsOf(entry);
     if (found->second <= 0) {
         m_unitsWaitedFor.erase(found);
@@ -517,7 +520,7 @@
 {
     std::vector<relay_entry *> waiting;
     for (const auto &[caller, entry] : m_entries) {
-        if (entry->machine.stage() == relay_stage::Waiting && entry->queuedAt != time_point{} && !entry->ask) {
+        if (entry->machine.stage() == relay_stage::Waiting && entry->queuedAt != time_point{} && !entry->ask && !entry->limitRetryAt) {
             waiting.push_back(entry.get());
         }
     }
