Log which answers nothing but the end of their connection marks

result= lines of plain answers state framing=close, those of streams last_event, and the counter unmarked_answers counts answers without a mark of their end, also when their lines are left out. No decision is changed.

unit/broken_streams, relay_core_requests, relay_core_streams, relay_client_answers, relay_fuzz and broken_answers pass.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -92,6 +92,19 @@
     bool coldKnown = true; // False: the answer says how long it stays cold in a way that cannot be read.
 };
 
+// How the end of an answer is marked.
+enum class answer_framing : std::uint8_t {
+    Length,
+    Chunks,
+    Close, // The answer ends with its connection.
+};
+
+constexpr std::string_view nameOf(answer_framing value)
+{
+    constexpr std::array names{std::string_view{"length"}, std::string_view{"chunks"}, std::string_view{"close"}};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 // Complete answer that is not a stream of events.
 struct relay_reply {
     attempt_number attempt = 0;
@@ -103,6 +116,7 @@
     bool wrongEndpoint = false; // Another endpoint now has the address, or the endpoint has another role.
     std::optional<reported_load> load;
     std::optional<endpoint_statement> statement; // Empty if the answer may be another endpoint's, or says nothing that can be read.
+    answer_framing framing = answer_framing::Length;
 };
 
 // Result of a read prompt, which waits for the decode endpoint.
@@ -113,19 +127,6 @@
     std::optional<reported_load> load;
 };
 
-// How the end of an answer is marked.
-enum class answer_framing : std::uint8_t {
-    Length,
-    Chunks,
-    Close, // The answer ends with its connection.
-};
-
-constexpr std::string_view nameOf(answer_framing value)
-{
-    constexpr std::array names{std::string_view{"length"}, std::string_view{"chunks"}, std::string_view{"close"}};
-    return names.at(static_cast<std::size_t>(value));
-}
-
 struct stream_head {
     attempt_number attempt = 0;
     int status = 200;
--- a/shell/relay_client.hpp
+++ b/shell/relay_client.hpp
@@ -155,9 +155,10 @@
         m_reply.wrongEndpoint = traits.wrongEndpoint;
         m_reply.load = traits.load;
         m_reply.statement = traits.statement;
+        m_reply.framing = framingOf(fields);
         m_streaming = m_streamRequested && traits.genuine && status / 100 == 2;
         if (m_streaming) {
-            m_client.m_sink(stream_head{m_reply.attempt, status, std::move(m_reply.headers), traits.load, framingOf(fields), traits.statement});
+            m_client.m_sink(stream_head{m_reply.attempt, status, std::move(m_reply.headers), traits.load, m_reply.framing, traits.statement});
         }
     }
 
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -23,6 +23,7 @@
             {"asks_answered", asksAnswered},
             {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
+            {"unmarked_answers", unmarkedAnswers},
             {"home_refusals", homeRefusals},
             {"endpoint_pauses", pauses},
             {"limit_waits", limitWaits},
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -83,6 +83,7 @@
         onNotRun(*entry, reply);
         return;
     }
+    m_components.metrics.unmarkedAnswers += reply.framing == answer_framing::Close ? 1 : 0;
     const bool succeeded = reply.genuine && (isSuccess(reply.status) || reply.status < firstServerError);
     if (entry->attempt->kind == dispatch_kind::Prefill) {
         // The answer carries no prefill result, whatever its status.
@@ -122,6 +123,7 @@
 {
     recordHoldTime(entry);
     const int status = reply.status;
+    entry.isUnmarked = reply.framing == answer_framing::Close;
     m_components.metrics.plainAnswer.add(m_components.clock.now() - entry.arrivedAt);
     m_components.commands.push_back(answer_plain{entry.request.caller, {}, status, std::move(reply.headers), std::move(reply.body)});
     finish(entry, "answered", status);
@@ -141,6 +143,7 @@
     }
     if (complete) {
         keepAttempt(*entry, message.attempt);
+        m_components.metrics.unmarkedAnswers += entry->attempt->framing == answer_framing::Close ? 1 : 0;
         forwardHead(*entry);
         releaseHeld(*entry);
         const auto rest = std::string(entry->route->resumable ? entry->attempt->splitter.rest() : std::string_view{});
@@ -487,6 +490,10 @@
         text += " first_ms=" + millisText(*entry.firstEventAt - entry.arrivedAt) + " gap_ms=" + millisText(entry.longestGap);
     }
     text += streamText(entry.attempt);
+    if (entry.headSent && entry.lastEventId) {
+        text += " last_event=" + std::to_string(*entry.lastEventId);
+    }
+    text += entry.isUnmarked ? " framing=close" : "";
     if (entry.version) {
         text += " version=" + entry.version->value;
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -126,6 +126,7 @@
     std::optional<std::uint64_t> lastEventId; // Last event that the caller has.
     std::string_view knowledge; // What the choice of its last place rested on. Empty if it had none.
     bool headSent = false;
+    bool isUnmarked = false; // Nothing but the end of the connection marked the end of the answer, which is no stream.
     std::string mediaType; // Of the head that the caller has.
     std::optional<software_version> version; // Version that began the stream, which no other one may go on with.
     std::string heldBytes; // Events that wait for the record of the stream.
