--- a/test/held_bytes.py
+++ b/test/held_bytes.py
@@ -48,8 +48,8 @@
 class Caller:
     """One connection. It stays open until close()."""
 
-    def __init__(self, port, number, send):
-        self.port, self.number, self.send_case = port, number, send
+    def __init__(self, port, number, send, host=HOST):
+        self.host, self.port, self.number, self.send_case = host, port, number, send
         self.stops_short = number % 10 < SHORT_OF_TEN
         self.connection, self.sent, self.fault = None, 0, None
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -60,7 +60,7 @@
     def run(self):
         self.deadline = time.monotonic() + SEND_TIME_S
         try:
-            self.connection = socket.create_connection((HOST, self.port), timeout=SEND_TIME_S)
+            self.connection = socket.create_connection((self.host, self.port), timeout=SEND_TIME_S)
             self.send_case(self)
         except OSError as error:
             self.fault = type(error).__name__
