Bound what the system holds unread for callers

What was seen: with what it has not read, which counts on the platform, a relay VM with 64 MB needs up to 98 MB while 400 callers send bodies that stop short, and 69 MB when they pipeline requests behind an open one.

Cause: a VM that has no memory for a body, or has an open request, does not read, and the system goes on to take 128 KB for each connection, or as much as it had granted a fast one before (up to 1.7 MB seen). Nothing bounds the sum.

The system now holds 32 KB for a connection of a caller at most, and callers have no more connections than three tenths of the memory hold at that size: 1,007 with 110 MB, 805 at the smallest machine (88 MB). The bound by descriptors stays. process_limits has both bounds and the reading of the two settings.

The expectation of 5,025 connections in unit/relay_settings_file now states a memory that allows them, and a new case checks the bound by memory.

--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -189,6 +189,10 @@
         m_acceptor.open(endpoint->protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
         m_acceptor.bind(*endpoint);
+        if (m_settings.limits.receiveBuffer > 0) {
+            // Accepted connections inherit the size. The system doubles it for its own use.
+            m_acceptor.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(m_settings.limits.receiveBuffer / 2)));
+        }
         m_acceptor.listen();
     } catch (const boost::system::system_error &error) {
         return makeStatus(failure::InvalidSettings, "listen: " + address + ": " + error.code().message());
--- a/shell/relay_options.cpp
+++ b/shell/relay_options.cpp
@@ -92,17 +92,6 @@
 
 } // namespace
 
-std::size_t heldBytesLimit(const relay_options &options)
-{
-    return options.memory / 2;
-}
-
-std::size_t callerConnectionLimit(const relay_options &options)
-{
-    constexpr std::size_t reserved = 200; // For the directory, other VMs, listeners and the log.
-    return (options.maxDescriptors - reserved) / 2;
-}
-
 absl::StatusOr<relay_options> loadRelayOptions(const std::string &file)
 {
     settings_errors errors(file);
@@ -124,14 +113,7 @@
     constexpr double maxGrace = 3600;
     const std::chrono::duration<double> grace(root.number("grace_s", std::chrono::duration<double>(out.core.grace).count(), minGrace, maxGrace));
     out.core.grace = std::chrono::duration_cast<duration>(grace);
-    constexpr double bytesPerMegabyte = 1e6;
-    constexpr double minMemory = 32; // Megabytes. Below it, the program itself needs them.
-    constexpr double maxMemory = 1e6;
-    out.memory =
-        static_cast<std::size_t>(root.number("memory_mb", static_cast<double>(out.memory) / bytesPerMegabyte, minMemory, maxMemory) * bytesPerMegabyte);
-    constexpr double minDescriptors = 256;
-    constexpr double maxDescriptors = 1e6;
-    out.maxDescriptors = static_cast<std::size_t>(root.number("max_descriptors", static_cast<double>(out.maxDescriptors), minDescriptors, maxDescriptors));
+    readProcessLimits(root, out.process);
     constexpr double thousandthsPerCore = 1000;
     constexpr double maxCores = 10'000;
     out.core.capacity = static_cast<std::int64_t>(root.number("processor_cores", 0, 0, maxCores) * thousandthsPerCore);
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -159,7 +159,7 @@
     , m_options(std::move(options))
     , m_logger(m_options.logLevel, m_options.logFormat)
     , m_logLimiter(m_options.logLinesPerSecond)
-    , m_memory(std::make_shared<memory_budget>(heldBytesLimit(m_options)))
+    , m_memory(std::make_shared<memory_budget>(m_options.process.heldBytes()))
     , m_core(m_options.core, m_clock)
     , m_http(io, endpointOptions)
     , m_directoryHttp(io, storeOptions)
@@ -183,7 +183,11 @@
           io, [this](const endpoint_name &endpoint, std::int64_t startedAt) { return m_core.admitProxied(endpoint, startedAt); }, m_logger, m_memory)
     , m_server(
           io,
-          {server_limits{.connectionsPerAccount = 1'000'000, .connections = callerConnectionLimit(m_options)}, {}, request_handling::Opaque, m_memory},
+          {server_limits{
+               .connectionsPerAccount = 1'000'000, .connections = m_options.process.callerConnections(), .receiveBuffer = process_limits::receiveBuffer},
+           {},
+           request_handling::Opaque,
+           m_memory},
           [this](input message) { onCallerInput(std::move(message)); },
           m_logger,
           m_metrics)
--- a/shell/settings.hpp
+++ b/shell/settings.hpp
@@ -28,6 +28,7 @@
     std::int32_t connectionsPerAccount = 1000; // Open connections that presented the same key.
     std::int32_t openRequests = 4096;
     std::size_t connections = std::numeric_limits<std::size_t>::max(); // Open connections of all callers.
+    std::size_t receiveBuffer = 0; // Bytes of a connection that the system holds until they are read. Zero selects the system's default.
     std::size_t outputBuffer = 256 * 1024UL; // Bytes that wait for a slow caller.
 };
 
--- a/test/held_bytes_test.cpp
+++ b/test/held_bytes_test.cpp
@@ -20,6 +20,7 @@
         server_limits limits;
         limits.idleTime = 60'000ms;
         limits.connections = 12;
+        limits.receiveBuffer = 32 * kilobyte;
         server = std::make_unique<http_server>(
             io,
             http_server_settings{limits, {}, request_handling::Opaque, memory},
@@ -165,6 +166,24 @@
     }
 }
 
+// Guards against connections for which the system holds far more than this process reads: the platform counts it towards the memory.
+BOOST_AUTO_TEST_CASE(unreadBytesOfAConnectionAreBounded)
+{
+    auto &caller = send(post(2));
+    BOOST_REQUIRE(requests.size() == 1U);
+    const std::string pipelined(megabyte, 'g');
+    std::size_t sent = 0;
+    runUntil(
+        io,
+        [&] {
+            sent += caller.sendSome(pipelined);
+            return false;
+        },
+        200ms);
+    constexpr std::size_t readAhead = 20 * kilobyte; // While a request is open.
+    BOOST_TEST(sent - caller.unacknowledged() <= 32 * kilobyte + readAhead);
+}
+
 // Guards against a body whose framing is many times as large as its content.
 BOOST_AUTO_TEST_CASE(framingIsBounded)
 {
--- a/test/relay_options_test.cpp
+++ b/test/relay_options_test.cpp
@@ -60,14 +60,27 @@
     for (const auto *value : {"", "\"null\"", "null", "\"{{limits.memory_mb|json}}\""}) {
         const auto options = load("memory_mb: " + std::string(value) + "\nmax_descriptors: " + value + '\n');
         BOOST_REQUIRE(options.ok());
-        BOOST_TEST(options->memory == 110'000'000U);
-        BOOST_TEST(options->maxDescriptors == 3075U);
+        BOOST_TEST(options->process.memory == 110'000'000U);
+        BOOST_TEST(options->process.descriptors == 3075U);
     }
     const auto options = load("memory_mb: 88\nmax_descriptors: \"10250\"\n");
     BOOST_REQUIRE(options.ok());
-    BOOST_TEST(heldBytesLimit(*options) == 44'000'000U);
-    BOOST_TEST(callerConnectionLimit(*options) == 5025U);
-    BOOST_TEST(callerConnectionLimit(*load("max_descriptors: 0\n")) == 28U);
+    BOOST_TEST(options->process.heldBytes() == 44'000'000U);
+    BOOST_TEST(load("memory_mb: 1000\nmax_descriptors: \"10250\"\n")->process.callerConnections() == 5025U);
+    BOOST_TEST(load("max_descriptors: 0\n")->process.callerConnections() == 28U);
+}
+
+// Guards against connections whose unread bytes take the memory that the program and the bytes held for others need.
+BOOST_AUTO_TEST_CASE(connectionsAreBoundByTheirUnreadBytes)
+{
+    for (const auto *memory : {"32", "88", "110", "512"}) {
+        const auto options = load("memory_mb: " + std::string(memory) + "\nmax_descriptors: 1000000\n");
+        BOOST_REQUIRE(options.ok());
+        const auto &process = options->process;
+        const auto unread = process.callerConnections() * process_limits::receiveBuffer;
+        BOOST_TEST(unread + process.heldBytes() <= process.memory / 10 * 8, memory);
+        BOOST_TEST(unread >= process.memory / 10 * 3 - process_limits::receiveBuffer, memory);
+    }
 }
 
 // Guards against a budget in which the largest body of a request within the limits has no place.
@@ -75,7 +88,7 @@
 {
     const auto options = load("memory_mb: 1\n");
     BOOST_REQUIRE(options.ok());
-    BOOST_TEST(memory_budget(heldBytesLimit(*options)).largeBodyLimit() > 4U * 1024 * 1024);
+    BOOST_TEST(memory_budget(options->process.heldBytes()).largeBodyLimit() > 4U * 1024 * 1024);
 }
 
 // Guards against a bound in another unit, and against a VM that does not start because the platform has no value for the placeholder.
--- a/test/shell_support.hpp
+++ b/test/shell_support.hpp
@@ -6,6 +6,9 @@
 #include <string_view>
 #include <vector>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -59,6 +62,13 @@
         boost::system::error_code ignored;
         return m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), ignored);
     }
+    // Returns the number of bytes that were sent and that the peer's system has not taken.
+    std::size_t unacknowledged()
+    {
+        int size = 0;
+        ::ioctl(m_socket.native_handle(), SIOCOUTQ, &size);
+        return static_cast<std::size_t>(size);
+    }
     // Returns everything received so far.
     const std::string &received()
     {
