Give entry VMs the bounds of relay VMs on held bytes and connections

What was seen: 120 callers whose bodies stop short take an entry VM to 391 to 683 MB; 128 MB is the aim.

Cause: the budget of held bytes was built for the relay program. The server of callers is the same in the entry program, but it got a budget without a limit there, and no bound of connections.

The entry program reads memory_mb (128) and max_descriptors (3,075) and has the same budget, receive buffers and bound of connections (1,171 with the defaults; a VM at the size of design.md, section 1, has some 200 requests open).

It also sends one booking of 4 MB, which is served. Open: copies of prompts that are being sent to engines are not counted.

--- a/shell/entry_vm.cpp
+++ b/shell/entry_vm.cpp
@@ -27,7 +27,11 @@
     , m_peers(
           io, m_settings.vm, m_settings.fleetKey, m_clock, [this](input message) { deliver(std::move(message)); }, m_logger, m_metrics)
     , m_server(
-          io, {m_settings.limits, m_settings.tls}, [this](input message) { deliver(std::move(message)); }, m_logger, m_metrics)
+          io,
+          {m_settings.limits, m_settings.tls, request_handling::Completion, std::make_shared<memory_budget>(m_settings.process.heldBytes())},
+          [this](input message) { deliver(std::move(message)); },
+          m_logger,
+          m_metrics)
     , m_admin(io, adminViews())
     , m_loop(io, m_clock, m_core, [this] { execute(); })
     , m_signals(io)
--- a/shell/settings.cpp
+++ b/shell/settings.cpp
@@ -107,6 +107,9 @@
         settings.tls = readTls(root.section("tls"));
     }
     settings.limits = readLimits(root.section("limits"));
+    readProcessLimits(root, settings.process);
+    settings.limits.connections = settings.process.callerConnections();
+    settings.limits.receiveBuffer = process_limits::receiveBuffer;
     readLogging(root.section("logging"), settings);
     settings.seedPeers = readSeedPeers(root.list("seed_peers"));
     root.section("tls");
--- a/shell/settings.hpp
+++ b/shell/settings.hpp
@@ -13,6 +13,7 @@
 #include "logging.hpp"
 #include "plantainpoint/ids.hpp"
 #include "plantainpoint/messages.hpp"
+#include "process_limits.hpp"
 
 namespace plantainpoint {
 
@@ -44,6 +45,7 @@
     std::string logAddress;
     std::string vmListAddress;
     server_limits limits;
+    process_limits process;
     severity logLevel = severity::Info;
     log_format logFormat = log_format::Text;
     std::vector<vm_entry> seedPeers; // Used until the VM list answers.
--- a/test/entry_held_bytes.py
+++ b/test/entry_held_bytes.py
@@ -8,11 +8,12 @@
 import os
 import resource
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "demo"))
 
 from deployment import Deployment, send_request, wait_until
-from held_bytes import CASES, Caller, peak_memory_mb
+from held_bytes import BODY_SIZE, CASES, Caller, peak_memory_mb
 from unread_bytes import MemoryWatch, send_medium_body
 
 # The crowd and the bounds. MEMORY_MB is the aim for a VM in docs/design.md.
@@ -92,6 +93,26 @@
     return faults
 
 
+def check_single(build, slot):
+    """Guards against a budget that refuses one request within the limits."""
+    with start(slot, build) as fleet:
+        assert fleet.publish().returncode == 0
+        fleet.wait_ready()
+        wait_until(lambda: ordinary_request(fleet) == ANSWERED, 20.0, "the service is published and the limit of its account has filled")
+        head, tail = b'{"booking":"large","note":"', b'"}'
+        body = head + b"n" * (BODY_SIZE - len(head) - len(tail)) + tail
+        headers = {"Authorization": f"Bearer {ORDINARY_KEY}", "Content-Type": "application/json"}
+        status = 429
+        for _ in range(20):
+            if status != 429:
+                break
+            time.sleep(1.0)  # The limit of the account fills again.
+            status = send_request(fleet.http_address("vm-1"), "POST", PATH, body, headers, ORDINARY_TIME_S).status
+        peak = peak_memory_mb(fleet.processes["vm-1"].pid)
+    print(f"one request of {len(body)} bytes: status {status}, at most {peak:.0f} of {MEMORY_MB} MB")
+    assert status == ANSWERED and peak <= MEMORY_MB, (status, peak)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", required=True)
@@ -99,6 +120,8 @@
     arguments = parser.parse_args()
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(8192, limit[1]), limit[1]))
+    if not arguments.case:
+        check_single(arguments.build, 60)
     faults = []
     for number, case in enumerate(arguments.case or SENDERS, 1):
         faults += check(arguments.build, 60 + number, case)
