--- a/shell/http_server.cpp
+++ b/shell/http_server.cpp
@@ -28,7 +28,7 @@
 // A body waits for memory for at most so long. A caller that is refused then still has most of its time.
 constexpr auto maxMemoryWait = std::chrono::milliseconds{500};
 constexpr auto longestMemoryWait = 4 * maxMemoryWait; // While older bodies go on.
-constexpr auto memoryReturnInterval = std::chrono::milliseconds{500}; // A return takes some milliseconds.
+constexpr auto memoryReturnInterval = std::chrono::milliseconds{500}; // Each return visits all freed blocks.
 constexpr auto memoryRetryInterval = std::chrono::milliseconds{25};
 // A connection at rest for this time may be closed for a new one. A caller that sends request after request rests less.
 constexpr auto minRest = std::chrono::seconds{1};
--- a/shell/process_limits.hpp
+++ b/shell/process_limits.hpp
@@ -23,8 +23,8 @@
     std::size_t callerConnections() const
     {
         constexpr std::size_t reserved = 200; // Descriptors for the directory, other VMs, listeners and the log.
-        constexpr std::size_t unreadParts = 10; // Of these parts of the memory, three may be used by what has not been read.
-        return std::min((descriptors - reserved) / 2, memory / unreadParts * 3 / receiveBuffer);
+        constexpr std::size_t unreadPercent = 30; // Of the memory may be used by what has not been read.
+        return std::min((descriptors - reserved) / 2, memory / 100 * unreadPercent / receiveBuffer);
     }
 };
 
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -348,12 +348,14 @@
 void relay_vm<Platform>::run(const check_answer_end &command)
 {
     if (command.proxy.empty()) {
+        constexpr int connections = 4; // Some may be left unanswered while the endpoint ends.
+        const auto connectTime = command.watchTime / connections;
         checkEndpoint(m_io,
                       {command.endpoint, command.address},
                       [this, attempt = command.attempt](const endpoint_checked &result) {
                           deliver(answer_end_checked{attempt, result.refused});
                       },
-                      {.delay = {}, .watch = command.watchTime, .connect = command.watchTime / 4, .retry = command.watchTime / 8});
+                      {.delay = {}, .watch = command.watchTime, .connect = connectTime, .retry = connectTime / 2});
         return;
     }
     probeEndpoint(
--- a/src/relay_ends.cpp
+++ b/src/relay_ends.cpp
@@ -11,10 +11,11 @@
 
 using std::chrono::milliseconds;
 
-// A process that ends may close its listener this long after its connections. The end of a stream costs its caller nothing while it is checked.
+// A process that ends may close its listener this long after its connections. The caller of a stream has all events while its end is checked, others wait
+// for their answers.
 constexpr duration streamWatchTime = milliseconds{150};
 constexpr duration answerWatchTime = milliseconds{40};
-constexpr std::int64_t answerWatchPart = 4; // One part of so many of the objective: other answers arrive after the check only.
+constexpr std::int64_t objectiveParts = 4; // A check of an answer takes one part of so many of the objective at most.
 // Time for another endpoint to send an event behind the last one. The caller of a stream waits for two seconds at least.
 constexpr duration confirmationTime = milliseconds{1000};
 // After one of its streams has proved incomplete, an endpoint's other streams without a mark of their end count as broken off for this time.
@@ -37,7 +38,7 @@
         onEndChecked(entry, false);
         return;
     }
-    const auto watchTime = entry.isStream() ? streamWatchTime : std::min<duration>(answerWatchTime, entry.route->objective / answerWatchPart);
+    const auto watchTime = entry.isStream() ? streamWatchTime : std::min<duration>(answerWatchTime, entry.route->objective / objectiveParts);
     const auto &info = endpoint->info;
     m_components.commands.push_back(check_answer_end{attempt.number, info.name, info.startedAt, info.address, attempt.proxy, watchTime});
     scheduleWakeup(entry);
