Log which transfers of the directory break off, and how far they came

A read or a transfer whose answer breaks off is logged with its end, the bytes received, its time and the version of the VM, and status and metrics tell the newest version that another VM has told of.

--- a/shell/http_client.hpp
+++ b/shell/http_client.hpp
@@ -35,6 +35,12 @@
     Malformed, // The response is not valid HTTP, or the request cannot be sent as HTTP.
 };
 
+constexpr std::string_view nameOf(transfer_end value)
+{
+    constexpr std::string_view names[]{"complete", "connect_failed", "proxy_failed", "withheld", "closed", "timed_out", "malformed"};
+    return names[static_cast<std::size_t>(value)];
+}
+
 // Receives one response. The callbacks may abort the call and may start other calls.
 class http_receiver
 {
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -319,10 +319,15 @@
 template<relay_platform Platform>
 void relay_vm<Platform>::run(const fetch_fleet_state &command)
 {
-    auto handler = [this, address = command.address](transfer_end end, bool, int status, const http_fields &, std::string body) {
+    auto handler = [this, address = command.address, startedAt = m_clock.now()](transfer_end end, bool, int status, const http_fields &, std::string body) {
         constexpr int statusOk = 200;
         if (end != transfer_end::Complete || status != statusOk) {
-            m_logger.write(severity::Warning, log_component::Peer, "The fleet state of " + address + " could not be read.");
+            m_logger.write(severity::Warning,
+                           log_component::Peer,
+                           "The fleet state of " + address + " could not be read: end=" + std::string(nameOf(end)) + " status=" + std::to_string(status)
+                               + " bytes=" + std::to_string(body.size())
+                               + " ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - startedAt).count())
+                               + " config_version=" + std::to_string(m_core.configVersion()) + '.');
             return;
         }
         m_directory.importState(body);
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -113,6 +113,7 @@
     std::uint64_t lastChange = 0; // The position after that change.
     directory_role lastRole = directory_role::Follower;
     time_point nextExchange{};
+    std::uint64_t newestVersionHeard = 0; // Newest configuration that another VM has told of.
     std::uint64_t reportedWork = 0; // Version of the work that the last heartbeat reported.
     time_point lastReportAt{};
     time_point lastFleetCheckAt = time_point::max(); // Time of the last tick, or of a first message after a suspension.
@@ -386,6 +387,7 @@
     if (follower.hasGap(now)) {
         endpoints.onReannouncing(knowledge.reannounceLeft, now);
     }
+    newestVersionHeard = std::max(newestVersionHeard, knowledge.configVersion);
     const bool configBehind = knowledge.configVersion > directoryState.configVersion;
     const bool endpointsBehind = knowledge.lastChange > endpoints.position();
     if (!configBehind && !endpointsBehind && endpoints.known() && !components.evacuated.known()) {
@@ -792,6 +794,7 @@
     }
     return {{"vm", components.settings.self.vm.value},
             {"config_version", configVersion()},
+            {"config_version_heard", m_state->newestVersionHeard},
             {"directory_position", components.endpoints.position()},
             {"directory_reachable", components.endpoints.reachable()},
             {"endpoints", components.endpoints.size()},
@@ -819,6 +822,7 @@
     result["open_requests"] = m_state->requests.open();
     result["waiting_requests"] = m_state->requests.waiting();
     result["config_version"] = configVersion();
+    result["config_version_heard"] = m_state->newestVersionHeard;
     result["directory_reachable"] = m_state->components.endpoints.reachable();
     result["vms_heard"] = m_state->components.fleet.heard(now);
     result["vms"] = m_state->components.fleet.members(now);
