--- /dev/null
+++ b/test/large_configurations_test.cpp
@@ -0,0 +1,144 @@
+// Tests that large configurations get into force over slow links and while many versions come in quick succession.
+#include <boost/test/unit_test.hpp>
+
+#include "relay_fixture.hpp"
+#include "store_fixture.hpp"
+
+using namespace plantainpoint;
+using namespace plantainpoint::platform;
+using namespace plantainpoint::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char *readConfigTarget = "/api/log-read?topic=keyed.op";
+constexpr const char *newestConfigTarget = "/api/log-newest?topic=keyed.op";
+
+// Returns a configuration with many routes, in the size of about 200 bytes a route.
+std::string configOf(std::uint64_t version, std::size_t routeCount = 0)
+{
+    auto routes = nlohmann::json::array();
+    for (std::size_t i = 0; i < routeCount; ++i) {
+        const auto name = std::to_string(stableHash("route-" + std::to_string(i)));
+        routes.push_back({{"name", "r-" + name},
+                          {"host", "desk.example"},
+                          {"path_prefix", "/" + name + "/"},
+                          {"kind", "safe"},
+                          {"timeout_ms", 1000},
+                          {"slo_ms", 150},
+                          {"priority", 2},
+                          {"service", "desk"},
+                          {"attempts", 2},
+                          {"public", true},
+                          {"sticky", false}});
+    }
+    return nlohmann::json{{"version", version},
+                          {"routes", routes},
+                          {"services", {{{"name", "desk"}, {"health_path", "/healthz"}, {"max_conns", 10}, {"proto", "h1"}, {"tls", false}}}}}
+        .dump();
+}
+
+struct large_configuration_fixture : store_fixture {
+    // Reads the topics once, so that the position after the configuration is 3 and that after the workers 1.
+    void readOnce()
+    {
+        startReading();
+        serveRequest(newestConfigTarget, newestPage(3, "config", configOf(5)));
+        serveRequest(newestWorkersTarget, newestPage(1, "w-1", workerEntry("10.0.0.1:1")));
+        serveRequest("topic=keyed.quarantine", nlohmann::json{{"end", 0}, {"has_more", false}, {"items", nlohmann::json::array()}}.dump());
+        BOOST_REQUIRE(runUntil(io, [&] { return !versions.empty(); }));
+    }
+
+    // Answers in equal parts with pauses, as a slow link does.
+    void answerSlowly(raw_connection &connection, const std::string &body, int parts, milliseconds pause)
+    {
+        answeredBytes[&connection] = connection.received().size();
+        const auto bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const auto partSize = bytes.size() / static_cast<std::size_t>(parts) + 1;
+        for (std::size_t sent = 0; sent < bytes.size(); sent += partSize) {
+            connection.send(std::string_view(bytes).substr(sent, partSize));
+            const auto until = std::chrono::steady_clock::now() + pause;
+            runUntil(io, [&] { return std::chrono::steady_clock::now() >= until; });
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(large_configuration_reads, large_configuration_fixture)
+
+// Guards against a read with a time limit on the whole answer: over a slow link, each one is cut off and starts anew at the same offset (lippu-reititin-grown,
+// 600 KB over 10 Mbit/s).
+BOOST_AUTO_TEST_CASE(slowAnswersAreReadToTheirEnd)
+{
+    readOnce();
+    auto *const slow = requestFor(std::string(readConfigTarget) + "&part=0&from=3");
+    BOOST_REQUIRE(slow != nullptr);
+    const auto text = configOf(9, 500);
+    answerSlowly(*slow, logPage(4, 0, encodeKeyedRecord("config", text)), 10, milliseconds{120});
+    BOOST_TEST(runUntil(io, [&] { return versions.back() == 9; }));
+}
+
+// Guards against a read that stopped short of the end and counts as proof that nothing newer is there.
+BOOST_AUTO_TEST_CASE(pagesShortOfTheEndAreNoProof)
+{
+    readOnce();
+    serveRequest(std::string(readConfigTarget) + "&part=0&from=3", logPage(5, 0, encodeKeyedRecord("config", configOf(6))));
+    serveRequest(std::string(readWorkersTarget) + "&part=0&from=1", logPage(3, 0, encodeKeyedRecord("w-2", workerEntry("10.0.0.2:1"))));
+    const auto before = finishedReads;
+    auto *const rest = requestFor(std::string(readWorkersTarget) + "&part=0&from=2");
+    BOOST_REQUIRE(rest != nullptr);
+    auto *const restOfConfig = requestFor(std::string(readConfigTarget) + "&part=0&from=4");
+    BOOST_REQUIRE(restOfConfig != nullptr);
+    BOOST_TEST(finishedReads == before);
+    answer(*rest, logPage(3, 0, encodeKeyedRecord("w-3", workerEntry("10.0.0.3:1"))));
+    answer(*restOfConfig, logPage(5, 0, encodeKeyedRecord("config", configOf(7))));
+    BOOST_TEST(runUntil(io, [&] { return finishedReads == before + 1; }));
+    BOOST_TEST(versions.back() == 7);
+    BOOST_TEST(addresses["w-3"] == "10.0.0.3:1");
+}
+
+// Guards against a VM that reads every superseded version of a backlog, each as large as the newest one.
+BOOST_AUTO_TEST_CASE(supersededConfigurationsAreSkipped)
+{
+    readOnce();
+    serveRequest(std::string(readConfigTarget) + "&part=0&from=3", logPage(30, 0, encodeKeyedRecord("config", configOf(6))));
+    serveRequest(newestConfigTarget, newestPage(30, "config", configOf(31)));
+    BOOST_TEST(runUntil(io, [&] { return versions.back() == 31; }));
+    BOOST_TEST(requestFor(std::string(readConfigTarget) + "&part=0&from=30") != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(large_configuration_transfers, relay_fixture)
+
+// Guards against transfers of state that start while another one is open and share the link with it, so that none ends in time and the VM never catches up.
+BOOST_AUTO_TEST_CASE(oneTransferOfStateIsOpenAtATime)
+{
+    configureDesks();
+    answersFetches = false;
+    for (std::uint64_t sequence = 1; sequence <= 20; ++sequence) {
+        core.handle(fleet_heartbeat{.from = {{"vm-2"}, 5},
+                                    .sequence = sequence,
+                                    .address = "127.0.0.1:7002",
+                                    .dataCentre = {"dc-a"},
+                                    .knowledge = {.configVersion = 9, .configSize = 20'000}});
+        advance(milliseconds{150});
+    }
+    BOOST_TEST(fetchAddresses.size() == 1);
+}
+
+// Guards against a fleet whose VMs all read a large configuration from the directory: 320 VMs and 600 KB take longer than the bound of the change.
+BOOST_AUTO_TEST_CASE(largeConfigurationsComeFromTheHub)
+{
+    configureDesks();
+    const auto before = directoryReads;
+    core.handle(fleet_heartbeat{
+        .from = {{"vm-2"}, 5}, .sequence = 1, .address = "127.0.0.1:7002", .dataCentre = {"dc-a"}, .knowledge = {.configVersion = 9, .configSize = 600'000}});
+    collect();
+    advance(milliseconds{20});
+    BOOST_TEST(fetchAddresses.size() == 1);
+    BOOST_TEST(directoryReads == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -227,6 +227,7 @@
     std::vector<send_heartbeat> heartbeatMessages;
     std::vector<std::string> fetchAddresses;
     std::vector<check_answer_end> endChecks;
+    bool answersFetches = true; // Transfers of state end at once.
     bool answersEndChecks = true; // Endpoints run on after an answer whose end is not marked.
     std::string streamedBytes;
     int directoryReads = 0;
--- a/test/store_fixture.hpp
+++ b/test/store_fixture.hpp
@@ -112,6 +112,7 @@
     void receive(relay_input message)
     {
         if (std::holds_alternative<directory_read_finished>(message)) {
+            ++finishedReads;
             boost::asio::post(io, [this] { reader.run(read_directory{}); });
         } else if (auto *const state = std::get_if<directory_state>(&message)) {
             lastState = *state;
@@ -174,6 +175,7 @@
     directory_state lastState;
     std::vector<order_log_read> orderReads;
     std::vector<order_appended> appendedOrders;
+    int finishedReads = 0;
     std::vector<std::uint64_t> versions; // Versions of the configurations as reported to the core.
 };
 
