End reads of the directory by a pause of the answer, not by their length

A read of the store had 600 ms for its whole answer and a transfer of state from a hub 800 ms.

Reads and transfers now end when no byte arrives for that time, whatever their length. As a read may take longer than 2.5 s with that, a read that is asked for again while it is open proves the start of the read that is open: it counted as proof of the time of the second question, which is too young.

--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -72,7 +72,7 @@
 
 private:
     static constexpr const char *statePath = "/fleet/state";
-    static constexpr auto fetchTimeout = std::chrono::milliseconds{800};
+    static constexpr auto fetchPauseLimit = std::chrono::milliseconds{800}; // Ends a transfer of state in which no byte arrives for this time.
     static constexpr auto receptionCheckInterval = std::chrono::milliseconds{20};
     // A read that has completed is handled before the second of two checks, so that its bytes are not missed.
     static constexpr int quietChecks = 2;
@@ -332,7 +332,9 @@
         }
         m_directory.importState(body);
     };
-    http_call call{.request = makeRequest(boost::beast::http::verb::get, statePath + ("?" + m_directory.missingState())), .timeout = fetchTimeout};
+    http_call call{.request = makeRequest(boost::beast::http::verb::get, statePath + ("?" + m_directory.missingState())),
+                   .timeout = fetchPauseLimit,
+                   .kind = timeout_kind::Inactivity};
     m_directoryHttp.start(command.address, std::move(call), collectResponse(std::move(handler)));
 }
 
--- a/src/directory_follower.cpp
+++ b/src/directory_follower.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr auto retryPause = milliseconds{200}; // Pause after a failed read of a VM that knows nothing yet, or that reads for the fleet.
-constexpr auto lostAnswerTimeout = milliseconds{2500}; // A read without a result by then counts as failed. The reader has shorter timeouts.
+constexpr auto lostAnswerTimeout = milliseconds{2500}; // A read without a result by then is asked for again, in case its result was lost.
 constexpr auto firstReadDelay = milliseconds{600}; // A hub tells a VM that has started of its existence within this time.
 constexpr int outageThreshold = 2; // Failed reads in a row. A single read may fail by chance.
 constexpr auto outageTime = milliseconds{2000}; // Entries of live endpoints lapse in longer outages only.
@@ -52,8 +52,13 @@
 
 bool directory_follower::startRead(directory_role role, time_point now)
 {
-    if (m_readStartedAt && now - *m_readStartedAt < lostAnswerTimeout) {
-        return false;
+    if (m_readStartedAt) {
+        if (now - m_readAskedAt < lostAnswerTimeout) {
+            return false;
+        }
+        // The reader may still be at it. The result proves what was in the directory at the start of that read, and not later.
+        m_readAskedAt = now;
+        return true;
     }
     const bool stale = !m_provedAt || now - *m_provedAt >= maxProofAge(role);
     const bool paused = m_lastReadAt && now - *m_lastReadAt < pause(role);
@@ -67,6 +72,7 @@
     }
     m_expedited = false;
     m_readStartedAt = now;
+    m_readAskedAt = now;
     return true;
 }
 
--- a/src/directory_follower.hpp
+++ b/src/directory_follower.hpp
@@ -27,7 +27,7 @@
     // The bound is the time within which a change has to be known to this VM. Followers with different seeds do not read at the same time.
     directory_follower(duration interval, duration bound, std::uint64_t seed);
 
-    // Returns whether a read has to start now, and records its start.
+    // Returns whether a read has to start now, and records its start. Returns true again for a read that has had no result for long.
     bool startRead(directory_role role, time_point now);
     void onReadFinished(bool succeeded, time_point now);
     // Records that this VM knows all that was in the directory at this time, as another VM has proved. Returns whether the directory has
@@ -56,6 +56,7 @@
     std::optional<time_point> m_provedAt;
     std::optional<time_point> m_gapEndedAt; // Arrival of the first proof after a gap.
     std::optional<time_point> m_readStartedAt; // Set while a read is open.
+    time_point m_readAskedAt{}; // Time at which the open read was last asked for.
     std::optional<time_point> m_lastReadAt;
     std::optional<time_point> m_startedAt; // Time of the first decision.
     time_point m_failedReadStartedAt{};
--- a/test/large_configurations_test.cpp
+++ b/test/large_configurations_test.cpp
@@ -1,6 +1,7 @@
 // Tests that large configurations get into force over slow links and while many versions come in quick succession.
 #include <boost/test/unit_test.hpp>
 
+#include "directory_follower.hpp"
 #include "relay_fixture.hpp"
 #include "store_fixture.hpp"
 
@@ -110,6 +111,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(long_directory_reads)
+
+// Guards against a read that takes long, is asked for again and then counts as proof of what the directory held when it was asked for the second time.
+BOOST_AUTO_TEST_CASE(readAskedForAgainProvesItsOwnStart)
+{
+    directory_follower follower{milliseconds{450}, milliseconds{3000}, 0};
+    const time_point start{std::chrono::seconds{100}};
+    BOOST_REQUIRE(follower.startRead(directory_role::Reader, start));
+    BOOST_TEST(!follower.startRead(directory_role::Reader, start + milliseconds{2000}));
+    BOOST_TEST(follower.startRead(directory_role::Reader, start + milliseconds{2600}));
+    BOOST_TEST(!follower.startRead(directory_role::Reader, start + milliseconds{2700}));
+    follower.onReadFinished(true, start + milliseconds{3000});
+    BOOST_REQUIRE(follower.proofAge(start + milliseconds{3000}).has_value());
+    BOOST_TEST((*follower.proofAge(start + milliseconds{3000}) == duration{milliseconds{3000}}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(large_configuration_transfers, relay_fixture)
 
 // Guards against transfers of state that start while another one is open and share the link with it, so that none ends in time and the VM never catches up.
