Keep one transfer of state open at a time

The core now starts a transfer only when it has heard that the one before has ended, well or badly.

large_configuration_transfers/oneTransferOfStateIsOpenAtATime failed before.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -204,6 +204,10 @@
     bool succeeded = false; // Both the configuration and the endpoints were read up to their ends.
 };
 
+// The transfer of state from another VM has ended. What it brought has been reported before.
+struct fleet_state_fetched {
+};
+
 // What this VM holds of the directory, reported whenever it changes.
 struct directory_state {
     std::uint64_t configVersion = 0; // Zero if no configuration is known.
@@ -579,6 +583,7 @@
                                  evacuations_read,
                                  directory_read,
                                  directory_read_finished,
+                                 fleet_state_fetched,
                                  directory_state,
                                  fleet_heartbeat,
                                  fleet_summary,
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -328,9 +328,10 @@
                                + " bytes=" + std::to_string(body.size())
                                + " ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - startedAt).count())
                                + " config_version=" + std::to_string(m_core.configVersion()) + '.');
-            return;
+        } else {
+            m_directory.importState(body);
         }
-        m_directory.importState(body);
+        deliver(fleet_state_fetched{});
     };
     http_call call{.request = makeRequest(boost::beast::http::verb::get, statePath + ("?" + m_directory.missingState())),
                    .timeout = fetchPauseLimit,
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -63,6 +63,7 @@
     void on(const evacuations_read &read);
     void on(const directory_read &read);
     void on(const directory_read_finished &finished);
+    void on(const fleet_state_fetched & /*message*/) { fetchOpen = false; }
     void on(const directory_state &state)
     {
         directoryState = state;
@@ -93,6 +94,7 @@
     void onResumed(time_point now);
     void onLevels(const fleet_view::message_arrival &arrival, const fleet_summary &summary);
     void onKnowledge(const directory_knowledge &knowledge, const std::string &address);
+    bool fetchState(const std::string &address, time_point now);
     void onSummaryOfDirectory(const fleet_summary &summary);
     own_report report(time_point now);
     std::uint64_t reportedPosition() const;
@@ -118,6 +120,7 @@
     time_point lastReportAt{};
     time_point lastFleetCheckAt = time_point::max(); // Time of the last tick, or of a first message after a suspension.
     time_point nextFetch{};
+    bool fetchOpen = false; // A second transfer would take its share of the link from the first one.
     bool wasHeld = false;
     time_point resumedAt{}; // End of the last suspension.
     std::optional<time_point> evacuationsProvedAt; // All evacuations up to this time are known.
@@ -392,10 +395,8 @@
     const bool endpointsBehind = knowledge.lastChange > endpoints.position();
     if (!configBehind && !endpointsBehind && endpoints.known() && !components.evacuated.known()) {
         // The state came from a VM of an earlier version, which does not know the evacuations.
-        if (now >= nextFetch) {
-            nextFetch = now + fetchInterval;
+        if (fetchState(address, now)) {
             follower.expedite();
-            components.commands.push_back(fetch_fleet_state{address});
         }
         return;
     }
@@ -416,10 +417,21 @@
     const bool manyEntries = !endpoints.known() && knowledge.endpointEntries > maxFetchedEntries;
     if ((largeConfig || manyEntries) && endpoints.reachable()) {
         follower.expedite();
-    } else if (now >= nextFetch) {
-        nextFetch = now + fetchInterval;
-        components.commands.push_back(fetch_fleet_state{address});
+    } else {
+        fetchState(address, now);
+    }
+}
+
+// Fetches the state of another VM, unless a transfer is open or ended lately. Returns whether it does.
+bool relay_core::state::fetchState(const std::string &address, time_point now)
+{
+    if (fetchOpen || now < nextFetch) {
+        return false;
     }
+    fetchOpen = true;
+    nextFetch = now + fetchInterval;
+    components.commands.push_back(fetch_fleet_state{address});
+    return true;
 }
 
 // Places the requests that waited for the end of the hold, by the hub where there is one.
--- a/test/relay_fixture.hpp
+++ b/test/relay_fixture.hpp
@@ -200,6 +200,9 @@
                 ++directoryReads;
             } else if (auto *const fetch = std::get_if<fetch_fleet_state>(&each)) {
                 fetchAddresses.push_back(fetch->address);
+                if (answersFetches) {
+                    directoryAnswers.emplace_back(fleet_state_fetched{});
+                }
             }
         }
         for (auto &answer : directoryAnswers) {
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -458,14 +458,14 @@
             const auto &from = vms[sender];
             auto &to = vms[index];
             const bool isBehind = from.next > to.next || from.configNext > to.configNext || to.operatorEra == 0;
-            if (!from.core || !to.core || !from.loaded || (to.loaded && !isBehind)) {
-                return;
+            if (from.core && to.core && from.loaded && (!to.loaded || isBehind)) {
+                importEvacuations(index, from);
+                // The whole state weighs about 300 bytes an endpoint.
+                constexpr std::uint64_t entrySize = 300;
+                vms[index].bytes += entrySize * from.next;
+                load(index, std::max(from.next, to.next), std::max(from.configNext, to.configNext), true);
             }
-            importEvacuations(index, from);
-            // The whole state weighs about 300 bytes an endpoint.
-            constexpr std::uint64_t entrySize = 300;
-            vms[index].bytes += entrySize * from.next;
-            load(index, std::max(from.next, to.next), std::max(from.configNext, to.configNext), true);
+            deliver(index, fleet_state_fetched{});
         });
     }
     void on(std::size_t index, check_endpoint &command)
