End reads of the log by a pause of the answer in the entry program too

Over a slow link each read is cut off and starts anew at the same offset.

slow_log_pages/slowPageIsReadToItsEnd failed before (no page after 1.5 s).

--- a/shell/log_client.cpp
+++ b/shell/log_client.cpp
@@ -16,7 +16,7 @@
 
 constexpr int statusGone = 410;
 constexpr int statusUnavailable = 503;
-// Added to the wait time of a read. The log head proof of a slower answer would expire soon after it arrives.
+// Added to the wait time of a read, which ends when no byte of the answer arrives for this time. How long a page takes depends on its size and the link.
 constexpr auto readTimeout = std::chrono::milliseconds{1500};
 constexpr auto appendTimeout = std::chrono::milliseconds{3000};
 constexpr std::uint64_t maxReadReply = 256 * 1024UL * 1024UL; // Bytes.
@@ -67,7 +67,7 @@
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(command.wait);
     const auto path =
         "/v1/read?from=" + std::to_string(command.from) + "&max=" + std::to_string(command.maxEntries) + "&wait_ms=" + std::to_string(wait.count());
-    http_call call{.request = makeRequest(http::verb::get, path), .timeout = wait + readTimeout, .maxBody = maxReadReply};
+    http_call call{.request = makeRequest(http::verb::get, path), .timeout = wait + readTimeout, .kind = timeout_kind::Inactivity, .maxBody = maxReadReply};
     const auto sentAt = m_clock.now();
     m_http.start(m_address, std::move(call), collectResponse([this, sentAt](transfer_end end, bool, int status, const http_fields &, const std::string &body) {
                      m_sink(end == transfer_end::Complete ? parseReadReply(sentAt, status, body) : input{log_read_failed{.sentAt = sentAt}});
