--- a/test/large_configurations_test.cpp
+++ b/test/large_configurations_test.cpp
@@ -110,6 +110,20 @@
     BOOST_TEST(requestFor(std::string(readConfigTarget) + "&part=0&from=30") != nullptr);
 }
 
+// Guards against an invalid version at the end of a backlog that hides the valid ones before it.
+BOOST_AUTO_TEST_CASE(invalidConfigurationDoesNotHideABacklog)
+{
+    readOnce();
+    const std::string invalid = R"({"version":40,"routes":[{}],"services":[]})";
+    serveRequest(std::string(readConfigTarget) + "&part=0&from=3", logPage(7, 0, encodeKeyedRecord("config", configOf(6))));
+    serveRequest(newestConfigTarget, newestPage(7, "config", invalid));
+    serveRequest(readWorkersTarget, logPage(1, 0, ""));
+    serveRequest(std::string(readConfigTarget) + "&part=0&from=4",
+                 logPage(7, 0, encodeKeyedRecord("config", configOf(8)) + encodeKeyedRecord("config", configOf(9)) + encodeKeyedRecord("config", invalid)));
+    BOOST_TEST(runUntil(io, [&] { return versions.back() == 9; }));
+    BOOST_TEST(requestFor(std::string(readConfigTarget) + "&part=0&from=7") != nullptr);
+}
+
 // Guards against a configuration that takes the link of a hub, or that of a VM, for longer than the bound of a change.
 BOOST_AUTO_TEST_CASE(configurationIsCompressedForOtherVms)
 {
