--- a/test/large_configurations_test.cpp
+++ b/test/large_configurations_test.cpp
@@ -124,6 +124,30 @@
     BOOST_TEST(requestFor(std::string(readConfigTarget) + "&part=0&from=7") != nullptr);
 }
 
+// Guards against a refused read that counts as proof because state of another VM, which may be older than the read, was imported meanwhile.
+BOOST_AUTO_TEST_CASE(refusedReadIsNoProof)
+{
+    std::vector<bool> results;
+    store_reader other{io,
+                       http,
+                       options,
+                       [&](const relay_input &message) {
+                           if (const auto *const finished = std::get_if<directory_read_finished>(&message)) {
+                               results.push_back(finished->succeeded);
+                           }
+                       },
+                       logger};
+    other.importState(encodeState({{"w-1", workerEntry("10.0.0.1:1")}}, 2));
+    other.run(read_directory{});
+    serveConfiguration();
+    auto *const refused = requestFor(std::string(readWorkersTarget) + "&part=0&from=2");
+    BOOST_REQUIRE(refused != nullptr);
+    other.importState(encodeState({{"w-1", workerEntry("10.0.0.3:1")}}, 3));
+    answer(*refused, "", 0, 503);
+    BOOST_REQUIRE(runUntil(io, [&] { return !results.empty(); }));
+    BOOST_TEST(!results.front());
+}
+
 // Guards against a configuration that takes the link of a hub, or that of a VM, for longer than the bound of a change.
 BOOST_AUTO_TEST_CASE(configurationIsCompressedForOtherVms)
 {
