--- a/fuzz/bytes/fleet_targets.cpp
+++ b/fuzz/bytes/fleet_targets.cpp
@@ -1,6 +1,7 @@
 // Targets for what the VMs of a fleet send to each other: datagrams, and the state that one VM takes over from another one.
 #include <nlohmann/json.hpp>
 
+#include "deflate.hpp"
 #include "fleet_codec.hpp"
 #include "relay_fixture.hpp"
 #include "shell_support.hpp"
@@ -104,7 +105,7 @@
     {
     }
 
-    std::string exported() const { return reader.exportState("config_version=0&config_from=0&workers_from=0"); }
+    std::string exported(const std::string &further = {}) const { return reader.exportState("config_version=0&config_from=0&workers_from=0" + further); }
 
     boost::asio::io_context io;
     http_client http;
@@ -123,17 +124,25 @@
         return {}; // Version 0 stands for no configuration.
     }
     const auto exported = first.exported();
-    state_reader second;
-    second.reader.importState(exported);
-    return second.exported() == exported ? "" : "exported state is imported as another one";
+    for (const auto &state : {exported, first.exported("&deflate=1")}) {
+        state_reader second;
+        second.reader.importState(state);
+        if (second.exported() != exported) {
+            return "exported state is imported as another one";
+        }
+    }
+    return {};
 }
 
 std::vector<std::string> fleetStateSeeds()
 {
-    const std::string config = R"({"version":9,"routes":[],"services":[]})";
+    const std::string config =
+        R"({"version":9,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"safe","service":"desk"}],"services":[{"name":"desk"}]})";
+    const auto deflated = deflate(config);
     const auto changes = platform::encodeChanges({{3, {"w-2", workerEntry}}, {4, {"w-1", std::nullopt}}});
     return {stateBytes({{"workers", {{"w-1", workerEntry}, {"w-2", workerEntry}}}, {"workers_next", 7}, {"workers_end", 9}}),
             stateBytes({{"config", config}, {"config_next", 4}}),
+            stateBytes({{"config_deflated", nlohmann::json::binary({deflated.begin(), deflated.end()})}, {"config_size", config.size()}}),
             stateBytes({{"changes", changes}, {"workers_next", 5}})};
 }
 
