Log from what the version of a taken-up stream is known, and streams that begin unrecorded

The logs could not tell why: the line of a request that takes a stream up did not say whether its version came from a record, from the lack of one or from the memory of the VM, and a stream whose first event did not wait for its record had no line at all.

The last line of such a request has version_from=memory, record, default or only_version now, and a stream that is passed on while the directory takes no records has a line. No decision changes.

--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -531,6 +531,9 @@
     if (entry.version) {
         text += " version=" + entry.version->value;
     }
+    if (entry.versionSource && entry.version) {
+        text += " version_from=" + std::string(nameOf(*entry.versionSource));
+    }
     if (!entry.request.resumes.empty()) {
         text += " resumes=" + entry.request.resumes;
     }
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -158,6 +158,7 @@
     bool isUnmarked = false; // Nothing but the end of the connection marked the end of the answer, which is no stream.
     std::string mediaType; // Of the head that the caller has.
     std::optional<software_version> version; // Version that began the stream, which no other one may go on with.
+    std::optional<version_source> versionSource; // Set when the request takes a stream up whose version has been found.
     std::string heldBytes; // Events that wait for the record of the stream.
     std::optional<time_point> heldUntil; // Set while events are held.
 
--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -38,6 +38,11 @@
     if (m_components.versions.begin(stream, {entry.service, attempt.version}, now)) {
         entry.heldUntil = now + holdTime;
         m_held.emplace(stream, entry.request.caller);
+    } else if (m_components.versions.findKnown(stream)) {
+        m_components.logMessage(severity::Warning,
+                                log_component::Place,
+                                "request=" + entry.request.payload->id
+                                    + " begins without a stored record, as the directory takes none version=" + attempt.version.value);
     }
     return true;
 }
@@ -72,6 +77,7 @@
 {
     const auto known = entry.request.resumes.empty() ? std::nullopt : m_components.versions.findKnown(streamKeyOf(entry.request.resumes));
     if (known) {
+        entry.versionSource = version_source::Memory;
         onVersionFound(entry, known);
         return;
     }
@@ -116,8 +122,11 @@
         if (resumes.empty()) {
             onVersionFound(entry, m_components.versions.findWithoutId(entry.service, read.succeeded, now));
         } else if (mayLackVersions) {
+            entry.versionSource = version_source::Record;
             onVersionFound(entry, m_components.versions.findKnown(streamKeyOf(resumes)));
         } else {
+            const bool hasRecord = m_components.versions.findKnown(streamKeyOf(resumes)).has_value();
+            entry.versionSource = hasRecord ? version_source::Record : read.succeeded ? version_source::Default : version_source::OnlyVersion;
             onVersionFound(entry, m_components.versions.find(streamKeyOf(resumes), entry.service, read.succeeded, now));
         }
     }
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -18,6 +18,20 @@
 // Identifies a stream by the id of the request that brought its first event.
 std::uint64_t streamKeyOf(std::string_view requestId);
 
+// From what a VM knows where a stream that is taken up began.
+enum class version_source : std::uint8_t {
+    Memory, // It began here, or a read for another stream has returned its record.
+    Record, // The read for this stream has returned its record.
+    Default, // There is no record of it.
+    OnlyVersion, // The directory could not be read, and no other version has served.
+};
+
+constexpr std::string_view nameOf(version_source value)
+{
+    constexpr std::string_view names[]{"memory", "record", "default", "only_version"};
+    return names[static_cast<std::size_t>(value)];
+}
+
 // Every service has a default version in the directory: a stream without a record began at it. Any other stream is recorded in the directory before its
 // first event reaches the caller, so that every VM can tell where it began, also when all VMs have been lost in between. The default changes only when no
 // other version has served for the lifetime of a stream. A VM that does not know the default for certain records every stream.
