Let first events wait until the record of their stream is stored or other VMs keep it

Cause: a stream elsewhere than at the default version needs a stored record before its caller has its first event, as every other VM takes the lack of one for the default. The VM gave this up in two places: after holdTime (1 s) it passed the events on without a record, and once an append had been open for 400 ms or had failed (canRecord) it did not hold them at all, though the rule had only been applied when the stream was placed, before its prompt was read.

Change: events of such a stream are always held. A VM whose directory does not take a record within 100 ms, or is known to fail, asks two other VMs at a time to keep it and to store it, and passes the events on when any VM has stored it. While none can, the events pass on when up to four other VMs keep the record: they answer take-ups by it and store it when the directory is back. A VM that neither reaches the directory nor another VM breaks the stream off before its first event, so that its caller comes to a VM that can record it. A VM whose records are stored by others places streams at all versions, as before its cut.

Why it works: the lack of a record is a statement again, because no event of a stream elsewhere than at the default reaches a caller before its record is where other VMs find it.

Tests: unit/joined_stream_versions replays the cut with a kill at 3, 7, 60 and 295 VMs, two of three VMs cut, and an outage for all VMs. Two checks of unit/stream_version_records demanded the fault itself (that begin() asks for no wait while the directory takes no records); they check now that the events wait, and that the append counts as failing.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -353,6 +353,22 @@
     stream_origin origin;
 };
 
+// Asks another VM to keep records of streams that the directory has not taken from the sender, and to store them.
+struct record_keeping_ask {
+    incarnation_id from;
+    std::string address; // IP:PORT for the answers.
+    std::uint64_t number = 0; // Identifies the ask at its VM.
+    std::vector<stream_record> records;
+};
+
+// Tells that the records of an ask are kept, and once more when they are stored.
+struct record_keeping_answer {
+    incarnation_id from;
+    std::uint64_t receiverIncarnation = 0;
+    std::uint64_t number = 0;
+    bool stored = false;
+};
+
 // Versions at which streams without a record began.
 struct default_versions {
     std::vector<stream_origin> origins;
@@ -603,6 +619,8 @@
                                  fleet_summary,
                                  placement_ask,
                                  placement_grant,
+                                 record_keeping_ask,
+                                 record_keeping_answer,
                                  members_read,
                                  order_log_read,
                                  order_appended,
@@ -708,6 +726,16 @@
     placement_grant grant;
 };
 
+struct send_record_ask {
+    std::string address;
+    std::shared_ptr<const record_keeping_ask> ask;
+};
+
+struct send_record_answer {
+    std::string address;
+    record_keeping_answer answer;
+};
+
 // Reads the configuration and the endpoint entries up to their ends. Entries before the position are known already.
 struct read_directory {
     std::uint64_t position = 0;
@@ -812,6 +840,8 @@
                                    send_summary,
                                    send_ask,
                                    send_grant,
+                                   send_record_ask,
+                                   send_record_answer,
                                    read_directory,
                                    read_members,
                                    import_directory_changes,
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -23,6 +23,8 @@
 constexpr char summaryKind = 'S';
 constexpr char askKind = 'A';
 constexpr char grantKind = 'G';
+constexpr char recordAskKind = 'R';
+constexpr char recordAnswerKind = 'K';
 constexpr std::size_t numberBytes = 8;
 constexpr unsigned bitsPerByte = 8;
 
@@ -396,6 +398,25 @@
             .expectedWait = readMicroseconds(in.at(8))};
 }
 
+record_keeping_ask readRecordAsk(const json &in)
+{
+    record_keeping_ask ask{.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
+                           .address = in.at(3).get<std::string>(),
+                           .number = wholeNumber<std::uint64_t>(in.at(4))};
+    ask.records = decodeList<stream_record>(in.at(5), [](const json &record) {
+        return stream_record{wholeNumber<std::uint64_t>(record.at(0)), {{record.at(1).get<std::string>()}, {record.at(2).get<std::string>()}}};
+    });
+    return ask;
+}
+
+record_keeping_answer readRecordAnswer(const json &in)
+{
+    return {.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
+            .receiverIncarnation = wholeNumber<std::uint64_t>(in.at(3)),
+            .number = wholeNumber<std::uint64_t>(in.at(4)),
+            .stored = in.at(5).get<bool>()};
+}
+
 fleet_summary readSummary(const json &in)
 {
     fleet_summary summary;
@@ -540,6 +561,20 @@
     return grantKind + toBytes(out);
 }
 
+std::string encodeRecordAsk(const record_keeping_ask &ask)
+{
+    const json out{format, ask.from.vm.value, ask.from.number, ask.address, ask.number, encodeList(ask.records, [](const auto &record) {
+                       return json{record.stream, record.origin.service.value, record.origin.version.value};
+                   })};
+    return recordAskKind + toBytes(out);
+}
+
+std::string encodeRecordAnswer(const record_keeping_answer &answer)
+{
+    const json out{format, answer.from.vm.value, answer.from.number, answer.receiverIncarnation, answer.number, answer.stored};
+    return recordAnswerKind + toBytes(out);
+}
+
 std::string encodeSummaryBody(const fleet_summary &summary)
 {
     json out{format,
@@ -584,8 +619,9 @@
 {
     const char kind = bytes.empty() ? '\0' : bytes.front();
     const std::size_t prefix = kind == summaryKind ? 1 + 2 * numberBytes : 1;
-    if (bytes.size() < prefix || std::string_view("HSAG").find(kind) == std::string_view::npos) {
-        return makeStatus(failure::MalformedMessage, "fleet message: expected a heartbeat, a summary, an ask or a grant");
+    if (bytes.size() < prefix || std::string_view("HSAGRK").find(kind) == std::string_view::npos) {
+        return makeStatus(failure::MalformedMessage,
+                          "fleet message: expected a heartbeat, a summary, or an ask for a place or for keeping records or the answer to one");
     }
     try {
         const auto document = parseCbor(bytes.substr(prefix), failure::MalformedMessage);
@@ -610,6 +646,14 @@
         if (kind == grantKind) {
             return fleet_message{readGrant(in)};
         }
+        if (kind == recordAskKind) {
+            auto ask = readRecordAsk(in);
+            return parseAddress(ask.address) ? absl::StatusOr<fleet_message>(std::move(ask))
+                                             : makeStatus(failure::MalformedMessage, "ask for keeping records: expected an address of the form IP:PORT");
+        }
+        if (kind == recordAnswerKind) {
+            return fleet_message{readRecordAnswer(in)};
+        }
         auto summary = readSummary(in);
         summary.receiverIncarnation = readNumber(bytes.substr(1));
         summary.acknowledged = readNumber(bytes.substr(1 + numberBytes));
--- a/shell/fleet_codec.hpp
+++ b/shell/fleet_codec.hpp
@@ -11,13 +11,15 @@
 
 namespace plantainpoint {
 
-using fleet_message = std::variant<fleet_heartbeat, fleet_summary, placement_ask, placement_grant>;
+using fleet_message = std::variant<fleet_heartbeat, fleet_summary, placement_ask, placement_grant, record_keeping_ask, record_keeping_answer>;
 
 std::string encodeHeartbeat(const fleet_heartbeat &heartbeatMessage);
 // Encodes everything but the fields for the receiver, so that one encoding serves all receivers.
 std::string encodeSummaryBody(const fleet_summary &summary);
 std::string encodeAsk(const placement_ask &ask);
 std::string encodeGrant(const placement_grant &grant);
+std::string encodeRecordAsk(const record_keeping_ask &ask);
+std::string encodeRecordAnswer(const record_keeping_answer &answer);
 std::string encodeSummary(std::string_view body, std::uint64_t receiverIncarnation, std::uint64_t acknowledged);
 
 // Returns MalformedMessage with a description of the error when the bytes are not a valid message.
--- a/shell/fleet_link.cpp
+++ b/shell/fleet_link.cpp
@@ -77,6 +77,16 @@
     sendTo(command.address, encodeGrant(command.grant));
 }
 
+void fleet_link::send(const send_record_ask &command)
+{
+    sendTo(command.address, encodeRecordAsk(*command.ask));
+}
+
+void fleet_link::send(const send_record_answer &command)
+{
+    sendTo(command.address, encodeRecordAnswer(command.answer));
+}
+
 void fleet_link::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
--- a/shell/fleet_link.hpp
+++ b/shell/fleet_link.hpp
@@ -30,6 +30,8 @@
     void send(const send_summary &command);
     void send(const send_ask &command);
     void send(const send_grant &command);
+    void send(const send_record_ask &command);
+    void send(const send_record_answer &command);
 
 private:
     void receive();
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -548,6 +548,21 @@
     return out;
 }
 
+std::vector<fleet_member> fleet_view::runningMembers(time_point now) const
+{
+    const auto seed = stableHash(m_members.self().vm.value);
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, fleet_member>> ordered;
+    for (const auto &[vm, peer] : m_members.peers()) {
+        if (peer.mayRun(now)) {
+            ordered.push_back({{!peer.isHeard(now), stableHash(vm.value, seed)}, peer.info});
+        }
+    }
+    std::sort(ordered.begin(), ordered.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<fleet_member> out;
+    std::transform(ordered.begin(), ordered.end(), std::back_inserter(out), [](const auto &each) { return each.second; });
+    return out;
+}
+
 std::size_t fleet_view::heard(time_point now) const
 {
     const auto &ownDataCentre = m_members.self().dataCentre;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -99,6 +99,8 @@
     const fleet_member &self() const { return m_members.self(); }
     // Returns the other VMs that are known and have not said that they leave.
     std::vector<fleet_member> otherMembers() const;
+    // Returns the other VMs that may be running, those that are heard first, and otherwise in an order that differs from VM to VM.
+    std::vector<fleet_member> runningMembers(time_point now) const;
     bool isHub() const { return m_isHub; }
     // Returns whether a hub of this data centre, this VM included, is known.
     bool hasHub(time_point now) const;
--- a/src/relay_core.cpp
+++ b/src/relay_core.cpp
@@ -288,7 +288,7 @@
 {
     const auto now = components.clock.now();
     nextVersionsUpdate = now + versionsUpdateInterval;
-    components.versions.tick(now);
+    requests.forgetRecords(now);
     if (components.routes) {
         components.versions.onEndpoints(*components.routes, components.endpoints, now);
         requests.refuseGoneVersions();
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -21,6 +21,8 @@
             {"asks", asks},
             {"asks_unanswered", asksUnanswered},
             {"asks_answered", asksAnswered},
+            {"record_asks", recordAsks},
+            {"record_asks_answered", recordAsksAnswered},
             {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
             {"unmarked_answers", unmarkedAnswers},
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -27,6 +27,8 @@
     std::uint64_t asks = 0; // Asks for a place that were sent to the hub.
     std::uint64_t asksUnanswered = 0; // Those that the hub did not answer in time.
     std::uint64_t asksAnswered = 0; // Asks of other VMs.
+    std::uint64_t recordAsks = 0; // Asks to other VMs to keep records of streams.
+    std::uint64_t recordAsksAnswered = 0; // Those of other VMs.
     std::uint64_t endpointCrashes = 0; // Endpoints that ended while they were answering, as seen by this VM.
     std::uint64_t unmarkedAnswers = 0; // Answers whose end nothing but the end of their connection marked.
     std::uint64_t unmarkedEndsRefuted = 0; // Those of which a part was missing: the endpoint had ended, or another one had the rest.
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -396,11 +396,7 @@
             recordAttemptOutcome(entry, false);
             abortStream(entry, "the endpoint sent no further event");
         } else if (entry.heldUntil && now >= *entry.heldUntil) {
-            m_components.logMessage(severity::Warning,
-                                    log_component::Place,
-                                    "request=" + entry.request.payload->id + " begins without a stored record version=" + entry.version->value);
-            releaseHeld(entry);
-            scheduleWakeup(entry);
+            onHoldDue(entry);
         } else if (entry.waitsForProof() && now >= *entry.unmarkedEnd->dueAt) {
             onUnmarkedEndDue(entry);
         } else if (entry.limitRetryAt && now >= *entry.limitRetryAt) {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -18,6 +18,7 @@
 #include "home_regions.hpp"
 #include "placer.hpp"
 #include "plantainpoint/relay_core.hpp"
+#include "record_keepers.hpp"
 #include "relay_machine.hpp"
 #include "relay_metrics.hpp"
 #include "relay_placement.hpp"
@@ -160,7 +161,8 @@
     std::optional<software_version> version; // Version that began the stream, which no other one may go on with.
     std::optional<version_source> versionSource; // Set when the request takes a stream up whose version has been found.
     std::string heldBytes; // Events that wait for the record of the stream.
-    std::optional<time_point> heldUntil; // Set while events are held.
+    time_point heldSince{};
+    std::optional<time_point> heldUntil; // Time of the next decision on the held events. Set while events are held.
 
     // Returns whether the attempt only finds out whether the stream goes on.
     bool isAskingForRest() const { return unmarkedEnd && unmarkedEnd->isAsked; }
@@ -200,6 +202,8 @@
     void on(const proxies_named &message) { m_components.ways.onProxiesNamed(message.addresses); }
     void on(const stream_records_read &read);
     void on(const stream_records_appended &appended);
+    void on(const record_keeping_ask &ask);
+    void on(const record_keeping_answer &answer);
     void on(const default_versions_set &message);
     void on(const stream_records_lost &message);
     // Looks for lost answers that an announcement of an endpoint explains.
@@ -209,6 +213,8 @@
     void refuseQuarantined();
     // Ends the streams that wait for an endpoint of a version that has none left, and the requests whose homes have no endpoint left.
     void refuseGoneVersions();
+    // Forgets records of streams that nobody takes up any more.
+    void forgetRecords(time_point now);
     // Stores the records of streams that have begun, and reads what this VM has to know of versions.
     void exchangeVersions(time_point now);
     // Places waiting requests after a change of the endpoints or of their load.
@@ -299,7 +305,11 @@
     bool bindVersion(relay_entry &entry);
     void lookUpVersion(relay_entry &entry);
     void onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin);
+    bool isSafelyRecorded(const relay_entry &entry) const;
     void releaseHeld(relay_entry &entry);
+    void releaseRecorded(const std::vector<std::uint64_t> &streams);
+    void onHoldDue(relay_entry &entry);
+    void askKeepers(time_point now);
 
     // Attempts.
     void send(relay_entry &entry, endpoint_entry &endpoint, dispatch_kind kind, std::int64_t prefillTokens);
@@ -411,6 +421,9 @@
     std::unordered_map<caller_id, time_point> m_wakeupOf;
     attempt_number m_lastAttempt = 0;
     std::unordered_multimap<std::uint64_t, caller_id> m_held; // Requests whose events wait for the record of their stream.
+    record_keepers m_keepers;
+    kept_records m_keptRecords;
+    std::uint64_t m_lastRecordAsk = 0;
     std::vector<caller_id> m_lookups; // Requests that wait for a read of the records to begin.
     std::vector<caller_id> m_openLookups; // Requests that wait for the open read.
     std::optional<time_point> m_silenceCheckAt;
--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -10,8 +10,9 @@
 
 using std::chrono::milliseconds;
 
-// Events wait for the record of their stream for this time. A directory that answers takes some milliseconds.
+// Events wait for the record of their stream for this time at most. A directory that answers takes some milliseconds.
 constexpr duration holdTime = milliseconds{1000};
+constexpr duration holdCheckInterval = milliseconds{100};
 constexpr duration unknownVersionRetry = milliseconds{300}; // The directory may answer again by then.
 constexpr duration defaultsReadInterval = std::chrono::seconds{1};
 
@@ -35,18 +36,28 @@
         return true;
     }
     const auto stream = streamKeyOf(entry.request.payload->id);
-    if (m_components.versions.begin(stream, {entry.service, attempt.version}, now)) {
-        entry.heldUntil = now + holdTime;
+    const stream_origin origin{entry.service, attempt.version};
+    if (m_components.versions.begin(stream, origin, now)) {
+        m_keepers.add({stream, origin}, now);
+        entry.heldSince = now;
+        entry.heldUntil = now + holdCheckInterval;
         m_held.emplace(stream, entry.request.caller);
-    } else if (m_components.versions.findKnown(stream)) {
-        m_components.logMessage(severity::Warning,
-                                log_component::Place,
-                                "request=" + entry.request.payload->id
-                                    + " begins without a stored record, as the directory takes none version=" + attempt.version.value);
     }
     return true;
 }
 
+// Returns whether no VM can take the stream for one at the default version: its record is stored, or other VMs keep it while nobody can store it.
+bool relay_requests::isSafelyRecorded(const relay_entry &entry) const
+{
+    const auto now = m_components.clock.now();
+    const auto stream = streamKeyOf(entry.request.payload->id);
+    if (m_keepers.isStored(stream)) {
+        return true;
+    }
+    const auto others = m_components.fleet.members(now) - 1;
+    return !m_components.versions.canRecord(now) && m_keepers.copiesOf(stream) >= std::min(others, record_keepers::wantedCopies);
+}
+
 void relay_requests::releaseHeld(relay_entry &entry)
 {
     if (!entry.heldUntil) {
@@ -58,17 +69,114 @@
     }
 }
 
-void relay_requests::on(const stream_records_appended &appended)
+// Passes on what is held of streams that are recorded by now.
+void relay_requests::releaseRecorded(const std::vector<std::uint64_t> &streams)
 {
-    for (const auto stream : m_components.versions.on(appended, m_components.clock.now())) {
+    for (const auto stream : streams) {
         const auto [begin, end] = m_held.equal_range(stream);
-        for (auto it = begin; it != end; ++it) {
-            if (const auto found = m_entries.find(it->second); found != m_entries.end()) {
+        for (auto it = begin; it != end;) {
+            const auto found = m_entries.find(it->second);
+            if (found != m_entries.end() && found->second->heldUntil && !isSafelyRecorded(*found->second)) {
+                ++it;
+                continue;
+            }
+            if (found != m_entries.end()) {
                 releaseHeld(*found->second);
                 scheduleWakeup(*found->second);
             }
+            it = m_held.erase(it);
         }
-        m_held.erase(begin, end);
+    }
+}
+
+// Decides on events whose record is overdue. Without a record anywhere, another VM would take the stream for one at the default version. Its caller has
+// nothing of it and is better off at a VM that can record it.
+void relay_requests::onHoldDue(relay_entry &entry)
+{
+    const auto now = m_components.clock.now();
+    const auto stream = streamKeyOf(entry.request.payload->id);
+    if (!isSafelyRecorded(entry) && now - entry.heldSince < holdTime) {
+        entry.heldUntil = now + holdCheckInterval;
+        scheduleWakeup(entry);
+        return;
+    }
+    const auto copies = m_keepers.copiesOf(stream);
+    const auto defaultVersion = m_components.versions.defaultVersion(entry.service);
+    const bool mayBeJoined = defaultVersion && defaultVersion != entry.version && isServed(entry, defaultVersion);
+    const bool isAlone = m_components.fleet.members(now) == 1;
+    if (!isSafelyRecorded(entry) && copies == 0 && mayBeJoined && !isAlone) {
+        abortStream(entry, "neither the directory nor another VM takes the record of the stream");
+        return;
+    }
+    m_components.logMessage(severity::Warning,
+                            log_component::Place,
+                            "request=" + entry.request.payload->id + " begins without a stored record version=" + entry.version->value
+                                + " copies=" + std::to_string(copies));
+    releaseHeld(entry);
+    scheduleWakeup(entry);
+}
+
+void relay_requests::on(const stream_records_appended &appended)
+{
+    const auto stored = m_components.versions.on(appended, m_components.clock.now());
+    m_keepers.onStored(stored);
+    releaseRecorded(stored);
+    for (auto &[address, answer] : m_keptRecords.onStored(stored)) {
+        answer.from = m_components.settings.self;
+        m_components.commands.push_back(send_record_answer{address, answer});
+    }
+}
+
+void relay_requests::on(const record_keeping_ask &ask)
+{
+    if (m_components.shuttingDown) {
+        return;
+    }
+    const auto now = m_components.clock.now();
+    auto &versions = m_components.versions;
+    for (const auto &record : ask.records) {
+        versions.keep(record, now);
+    }
+    auto answer = m_keptRecords.add(
+        ask, [&](std::uint64_t stream) { return versions.isStored(stream); }, now);
+    answer.from = m_components.settings.self;
+    ++m_components.metrics.recordAsksAnswered;
+    m_components.commands.push_back(send_record_answer{ask.address, answer});
+}
+
+void relay_requests::on(const record_keeping_answer &answer)
+{
+    if (answer.receiverIncarnation != m_components.settings.self.number) {
+        return;
+    }
+    const auto streams = m_keepers.on(answer);
+    if (answer.stored && !streams.empty()) {
+        m_components.versions.onStoredElsewhere(streams, m_components.clock.now());
+    }
+    releaseRecorded(streams);
+}
+
+// Forgets records that nobody needs any more.
+void relay_requests::forgetRecords(time_point now)
+{
+    m_components.versions.tick(now);
+    m_keepers.forgetBefore(now - stream_versions::streamLifetime);
+    m_keptRecords.forgetBefore(now - stream_versions::streamLifetime);
+}
+
+// Asks other VMs to keep and store the records that the directory does not take from this VM.
+void relay_requests::askKeepers(time_point now)
+{
+    auto records = m_keepers.takeDue(m_components.versions.isAppendFailing(now), now);
+    if (records.empty()) {
+        return;
+    }
+    const record_keeping_ask ask{
+        .from = m_components.settings.self, .address = m_components.settings.peerAddress, .number = ++m_lastRecordAsk, .records = std::move(records)};
+    const auto shared = std::make_shared<const record_keeping_ask>(ask);
+    for (const auto &receiver : m_keepers.sendTo(ask.number, ask.records, m_components.fleet.runningMembers(now), now)) {
+        ++m_components.metrics.recordAsks;
+        m_components.commands.push_back(send_record_ask{receiver.address, shared});
     }
 }
 
@@ -168,6 +276,7 @@
     if (auto records = versions.takeRecords(now)) {
         m_components.commands.push_back(std::move(*records));
     }
+    askKeepers(now);
     const bool needsDefaults = m_components.fleet.isHub() || !m_held.empty() || !m_lookups.empty();
     if (needsDefaults && versions.isUncertain() && now >= m_nextDefaultsRead) {
         m_nextDefaultsRead = now + defaultsReadInterval;
--- a/src/stream_versions.cpp
+++ b/src/stream_versions.cpp
@@ -12,6 +12,7 @@
 
 constexpr duration appendTimeout = milliseconds{400}; // The directory does not take records if an append takes longer.
 constexpr duration appendRetry = milliseconds{150};
+constexpr duration storedElsewhereTime = std::chrono::seconds{1}; // Other VMs count as storing records for this time after they last have.
 constexpr duration defaultsRetry = milliseconds{1500}; // Pause between two attempts to set default versions.
 // Defaults change so rarely that the first list of endpoints that a VM gets may be this much newer than the defaults that it knows.
 constexpr duration startSlack = std::chrono::seconds{10};
@@ -77,12 +78,47 @@
     }
     m_streams[stream] = {origin, now, true};
     m_unsent.push_back({stream, origin});
-    return canRecord(now);
+    return true;
+}
+
+void stream_versions::keep(const stream_record &record, time_point now)
+{
+    const auto [it, added] = m_streams.try_emplace(record.stream, known_stream{record.origin, now, true});
+    if (added || (!it->second.isOwn && !it->second.isStored)) {
+        it->second.isOwn = true;
+        m_unsent.push_back(record);
+    }
+}
+
+void stream_versions::onStoredElsewhere(const std::vector<std::uint64_t> &streams, time_point now)
+{
+    m_storedElsewhereAt = now;
+    markStored(streams);
+}
+
+void stream_versions::markStored(const std::vector<std::uint64_t> &streams)
+{
+    for (const auto stream : streams) {
+        if (const auto it = m_streams.find(stream); it != m_streams.end()) {
+            it->second.isStored = true;
+        }
+    }
+}
+
+bool stream_versions::isStored(std::uint64_t stream) const
+{
+    const auto it = m_streams.find(stream);
+    return it != m_streams.end() && it->second.isStored;
+}
+
+bool stream_versions::isAppendFailing(time_point now) const
+{
+    return m_failing || (!m_sent.empty() && now - m_sentAt >= appendTimeout);
 }
 
 bool stream_versions::canRecord(time_point now) const
 {
-    return !m_failing && (m_sent.empty() || now - m_sentAt < appendTimeout);
+    return !isAppendFailing(now) || (m_storedElsewhereAt && now - *m_storedElsewhereAt < storedElsewhereTime);
 }
 
 std::optional<stream_origin> stream_versions::findKnown(std::uint64_t stream) const
@@ -153,6 +189,7 @@
     if (appended.succeeded) {
         std::transform(m_sent.begin(), m_sent.end(), std::back_inserter(stored), [](const auto &record) { return record.stream; });
         m_sent.clear();
+        markStored(stored);
         return stored;
     }
     // Older records go first: of two records of a stream the last one holds.
@@ -168,6 +205,7 @@
         auto &known = m_streams[record.stream];
         known.origin = record.origin;
         known.at = now;
+        known.isStored = true;
     }
     if (read.succeeded && read.defaults) {
         m_defaults.clear();
@@ -187,7 +225,8 @@
     }
     m_defaults.clear();
     m_defaultsAsOf.reset();
-    for (const auto &[stream, known] : m_streams) {
+    for (auto &[stream, known] : m_streams) {
+        known.isStored = false;
         if (known.isOwn && now - known.at < streamLifetime) {
             m_unsent.push_back({stream, known.origin});
         }
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -48,9 +48,17 @@
     // Takes over the versions of the endpoints. Services whose streams cannot be taken up have none.
     void onEndpoints(const route_table &routes, const endpoint_directory &endpoints, time_point now);
 
-    // Records the begin of a stream. Returns whether its first event has to wait for the directory.
+    // Records the begin of a stream. Returns whether it needs a record, for which its first event has to wait.
     bool begin(std::uint64_t stream, const stream_origin &origin, time_point now);
-    // Returns whether the directory takes records. A stream that begins elsewhere than at the default version must not begin without one.
+    // Keeps a record of another VM and stores it.
+    void keep(const stream_record &record, time_point now);
+    // Another VM has stored records of this one.
+    void onStoredElsewhere(const std::vector<std::uint64_t> &streams, time_point now);
+    bool isStored(std::uint64_t stream) const;
+    // Returns whether the directory has failed to take the last records of this VM, or has had them for too long.
+    bool isAppendFailing(time_point now) const;
+    // Returns whether records are stored, by this VM or by another one. A stream that begins elsewhere than at the default version must not begin without a
+    // record.
     bool canRecord(time_point now) const;
     // Returns the version at which streams need no record, if this VM knows one.
     std::optional<software_version> defaultVersion(const service_name &service) const;
@@ -91,9 +99,11 @@
     struct known_stream {
         stream_origin origin;
         time_point at{};
-        bool isOwn = false; // This VM has recorded it.
+        bool isOwn = false; // This VM has recorded it, for itself or for another VM.
+        bool isStored = false; // The directory has the record.
     };
 
+    void markStored(const std::vector<std::uint64_t> &streams);
     // Returns whether the known default cannot have changed meanwhile.
     bool isCertain(const service_name &service, const known_service &known) const;
     // Returns the only version that has served within the lifetime of a stream, as far as this VM has seen.
@@ -112,6 +122,7 @@
     time_point m_retryAt{};
     time_point m_nextDefaultsAt{};
     bool m_failing = false;
+    std::optional<time_point> m_storedElsewhereAt; // Time at which another VM last told that it has stored records of this one.
 };
 
 } // namespace plantainpoint
--- a/test/joined_stream_versions_test.cpp
+++ b/test/joined_stream_versions_test.cpp
@@ -14,7 +14,6 @@
 using std::chrono::seconds;
 
 constexpr std::uint64_t eventsPerStream = 14;
-constexpr duration eventPause = milliseconds{40};
 constexpr int maxTries = 4;
 constexpr std::size_t joinedAllowed = 2;
 
@@ -178,8 +177,28 @@
             fleet.schedule(pause + milliseconds{900 + fleet.randomBelow(1500)}, [this, number = number] { send(number); });
         }
     }
+    // Ends a VM and starts it again. Its callers come to other VMs.
+    void killOne(std::size_t index, duration pause)
+    {
+        fleet.kill(index);
+        std::erase_if(current, [&](const auto &item) {
+            const bool isCut = streams[item.second].vm == index;
+            if (isCut) {
+                fleet.schedule(milliseconds{50 + fleet.randomBelow(50)}, [this, number = item.second] { send(number); });
+            }
+            return isCut;
+        });
+        fleet.schedule(pause, [this, index] { fleet.start(index); });
+    }
+    std::size_t whole() const
+    {
+        return static_cast<std::size_t>(std::count_if(streams.begin(), streams.end(), [](const auto &each) { return each.done; }));
+    }
     std::size_t randomRunning()
     {
+        if (busyVm && fleet.vms[*busyVm].core && fleet.randomBelow(2) == 0) {
+            return *busyVm;
+        }
         for (;;) {
             const auto index = static_cast<std::size_t>(fleet.randomBelow(static_cast<int>(fleet.vms.size())));
             if (fleet.vms[index].core) {
@@ -223,6 +242,8 @@
     std::map<failure, int> failures;
     int breakPermille = 0;
     std::optional<std::size_t> returnsTo;
+    std::optional<std::size_t> busyVm; // Gets half of the requests.
+    duration eventPause = milliseconds{40};
 };
 
 } // namespace
@@ -386,4 +407,88 @@
     BOOST_TEST(play.joined() <= joinedAllowed, play.joined() << " streams hold events of two versions");
 }
 
+// Guards against streams of a VM that is partitioned from the directory going on at another version after the VM has ended: their first events reached
+// their callers without a record, and other VMs took the lack of one for the default version.
+void playCutAndKill(int vmsPerDataCentre, int dataCentres, duration killAfter)
+{
+    version_play play(vmsPerDataCentre, dataCentres);
+    play.eventPause = milliseconds{200};
+    play.busyVm = 0;
+    play.start();
+    for (int round = 0; round < 3; ++round) {
+        play.load(seconds{3}, 40);
+        play.fleet.vms[0].cutFromDirectory = true;
+        play.load(killAfter, 40);
+        play.killOne(0, milliseconds{300});
+        play.load(milliseconds{5500} - killAfter, 40);
+        play.fleet.vms[0].cutFromDirectory = false;
+    }
+    play.load(seconds{3}, 40);
+    play.fleet.runFor(seconds{12});
+    play.check();
+    BOOST_TEST(play.whole() == play.streams.size(), play.whole() << " of " << play.streams.size() << " streams are whole");
+}
+
+BOOST_AUTO_TEST_CASE(aVmIsKilledWhileItIsCutFromTheDirectoryAt3Vms)
+{
+    playCutAndKill(1, 3, milliseconds{1700});
+}
+
+BOOST_AUTO_TEST_CASE(aVmIsKilledWhileItIsCutFromTheDirectoryAt7Vms)
+{
+    playCutAndKill(7, 1, milliseconds{1700});
+}
+
+BOOST_AUTO_TEST_CASE(aVmIsKilledWhileItIsCutFromTheDirectoryAt60Vms)
+{
+    playCutAndKill(20, 3, milliseconds{1200});
+}
+
+BOOST_AUTO_TEST_CASE(aVmIsKilledWhileItIsCutFromTheDirectoryAt295Vms)
+{
+    playCutAndKill(59, 5, milliseconds{1700});
+}
+
+// Guards against the same where two of three VMs are partitioned from the directory, so that only one can store records for them.
+BOOST_AUTO_TEST_CASE(twoOfThreeVmsAreCutFromTheDirectoryAndKilled)
+{
+    version_play play(1, 3);
+    play.eventPause = milliseconds{200};
+    play.start();
+    for (int round = 0; round < 3; ++round) {
+        play.load(seconds{3}, 40);
+        play.fleet.vms[0].cutFromDirectory = true;
+        play.fleet.vms[1].cutFromDirectory = true;
+        play.load(milliseconds{1700}, 40);
+        play.killOne(0, milliseconds{300});
+        play.killOne(1, milliseconds{300});
+        play.load(milliseconds{3800}, 40);
+        play.fleet.vms[0].cutFromDirectory = false;
+        play.fleet.vms[1].cutFromDirectory = false;
+    }
+    play.load(seconds{3}, 40);
+    play.fleet.runFor(seconds{12});
+    play.check();
+}
+
+// Guards against the same where no VM stores records, and one is lost: the others keep its records.
+BOOST_AUTO_TEST_CASE(aVmIsKilledWhileTheDirectoryIsDown)
+{
+    version_play play(1, 3);
+    play.eventPause = milliseconds{200};
+    play.busyVm = 0;
+    play.start();
+    for (int round = 0; round < 3; ++round) {
+        play.load(seconds{3}, 40);
+        play.fleet.directoryDown = true;
+        play.load(milliseconds{1700}, 40);
+        play.killOne(0, milliseconds{300});
+        play.load(milliseconds{1800}, 40);
+        play.fleet.directoryDown = false;
+    }
+    play.load(seconds{3}, 40);
+    play.fleet.runFor(seconds{12});
+    play.check();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -426,6 +426,11 @@
     }
     void on(std::size_t index, send_ask &command) { transmit(index, command.address, encodeAsk(command.ask).size(), std::move(command.ask)); }
     void on(std::size_t index, send_grant &command) { transmit(index, command.address, encodeGrant(command.grant).size(), std::move(command.grant)); }
+    void on(std::size_t index, send_record_ask &command) { transmit(index, command.address, encodeRecordAsk(*command.ask).size(), *command.ask); }
+    void on(std::size_t index, send_record_answer &command)
+    {
+        transmit(index, command.address, encodeRecordAnswer(command.answer).size(), std::move(command.answer));
+    }
     void on(std::size_t index, read_directory &command)
     {
         ++directory.reads;
--- a/test/stream_versions_test.cpp
+++ b/test/stream_versions_test.cpp
@@ -110,7 +110,8 @@
     BOOST_TEST(!versions.takeRecords(now).has_value()); // One append at a time.
     BOOST_TEST(versions.on(stream_records_appended{false}, now).empty());
     BOOST_TEST(!versions.canRecord(now));
-    BOOST_TEST(!versions.begin(3, {llm, v2}, now)); // Nothing waits for a directory that takes no records.
+    BOOST_TEST(versions.begin(3, {llm, v2}, now)); // Its events wait until the record is stored or other VMs keep it.
+    BOOST_TEST(!versions.isStored(1));
     now += seconds{1};
     const auto second = versions.takeRecords(now);
     BOOST_REQUIRE(second.has_value());
@@ -118,9 +119,11 @@
     BOOST_TEST(second->records.front().stream == 1U);
     BOOST_TEST(versions.on(stream_records_appended{true}, now).size() == 3U);
     BOOST_TEST(versions.canRecord(now));
+    BOOST_TEST((versions.isStored(1) && versions.isStored(2) && versions.isStored(3)));
 }
 
-BOOST_AUTO_TEST_CASE(anAppendWithoutAnAnswerDelaysNoFurtherStreams)
+// Guards against further streams beginning elsewhere than at the default version while an append has no answer.
+BOOST_AUTO_TEST_CASE(anAppendWithoutAnAnswerCountsAsFailing)
 {
     announce("dec-1", v1);
     announce("dec-2", v2);
@@ -128,8 +131,34 @@
     BOOST_REQUIRE(versions.takeRecords(now).has_value());
     now += milliseconds{100};
     BOOST_TEST(versions.begin(2, {llm, v2}, now));
+    BOOST_TEST(versions.canRecord(now));
     now += milliseconds{400};
-    BOOST_TEST(!versions.begin(3, {llm, v2}, now));
+    BOOST_TEST(versions.isAppendFailing(now));
+    BOOST_TEST(!versions.canRecord(now));
+    // Another VM stores the records in its place.
+    versions.onStoredElsewhere({1, 2}, now);
+    BOOST_TEST((versions.isStored(1) && versions.isStored(2)));
+    BOOST_TEST(versions.canRecord(now));
+    now += seconds{1};
+    BOOST_TEST(!versions.canRecord(now));
+}
+
+// Guards against a record of another VM that is kept and never stored.
+BOOST_AUTO_TEST_CASE(recordsOfOtherVmsAreStoredOnce)
+{
+    announce("dec-1", v1);
+    announce("dec-2", v2);
+    readDefaults({{llm, v1}}, {{2, {llm, v2}}});
+    versions.keep({1, {llm, v2}}, now);
+    versions.keep({1, {llm, v2}}, now);
+    versions.keep({2, {llm, v2}}, now); // The directory has it.
+    BOOST_TEST((versions.findKnown(1) == stream_origin{llm, v2}));
+    const auto records = versions.takeRecords(now);
+    BOOST_REQUIRE(records.has_value());
+    BOOST_TEST(records->records.size() == 1U);
+    BOOST_TEST(!versions.isStored(1));
+    versions.on(stream_records_appended{true}, now);
+    BOOST_TEST(versions.isStored(1));
 }
 
 BOOST_AUTO_TEST_CASE(theDefaultChangesOnlyWhenNoOtherVersionHasServedForALifetime)
