Ask other VMs where a stream began when the directory cannot tell

Cause: the directory was the only other place that knew where a stream began, and a read counted as complete although the store had deleted records that the VM had not read.

Change: a VM has two hubs keep a copy of each record, and a VM that looks a stream up asks the hubs while it reads. A read tells whether older records are lost (an offset that is gone, or a new era); then, and while no read succeeds, the answers of the hubs are awaited for 100 ms. Where one has the record, it holds. Where the directory cannot be read, a hub that has run for as long as the route allows a stream to last, and that keeps no record, shows that the stream began at the default. A read that lacks nothing decides alone, as before, so that a healthy store costs no wait. Copies are stored again when the store comes back from an older copy.

Cost: two datagrams and two answers for each stream elsewhere than at the default, one ask a hub for each stream that is taken up at a VM that does not know it; none while one version serves.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -353,15 +353,16 @@
     stream_origin origin;
 };
 
-// Asks another VM to keep records of streams that the directory has not taken from the sender, and to store them.
+// Asks another VM to keep records of streams, and to store them if the directory does not take them from the sender.
 struct record_keeping_ask {
     incarnation_id from;
     std::string address; // IP:PORT for the answers.
     std::uint64_t number = 0; // Identifies the ask at its VM.
+    bool stores = true;
     std::vector<stream_record> records;
 };
 
-// Tells that the records of an ask are kept, and once more when they are stored.
+// Tells that the records of an ask are kept, and once more when the receiver has stored them.
 struct record_keeping_answer {
     incarnation_id from;
     std::uint64_t receiverIncarnation = 0;
@@ -369,6 +370,23 @@
     bool stored = false;
 };
 
+// Asks another VM where a stream began.
+struct stream_origin_ask {
+    incarnation_id from;
+    std::string address; // IP:PORT for the answer.
+    std::uint64_t number = 0; // Identifies the ask at its VM.
+    std::uint64_t stream = 0;
+    bool isForHubs = true; // A hub passes the ask on to the hubs of the other data centres.
+};
+
+struct stream_origin_answer {
+    incarnation_id from;
+    std::uint64_t receiverIncarnation = 0;
+    std::uint64_t number = 0;
+    std::optional<stream_origin> origin; // Empty if the VM keeps no record of the stream.
+    duration runningFor{}; // Records that were sent to it before are lost.
+};
+
 // Versions at which streams without a record began.
 struct default_versions {
     std::vector<stream_origin> origins;
@@ -572,7 +590,8 @@
 
 // Result of a read_stream_records command.
 struct stream_records_read {
-    bool succeeded = false; // All records that were stored when the read began are known.
+    bool succeeded = false; // All records that the directory had when the read began are known.
+    bool lacksOlder = false; // The directory has lost or deleted records that this VM has not read.
     std::vector<stream_record> streams; // Records since the read before, oldest first.
     std::optional<std::vector<stream_origin>> defaults; // Default versions, if they were to be read.
     std::uint64_t defaultsEnd = 0; // Position behind the last default.
@@ -621,6 +640,8 @@
                                  placement_grant,
                                  record_keeping_ask,
                                  record_keeping_answer,
+                                 stream_origin_ask,
+                                 stream_origin_answer,
                                  members_read,
                                  order_log_read,
                                  order_appended,
@@ -736,6 +757,16 @@
     record_keeping_answer answer;
 };
 
+struct send_origin_ask {
+    std::string address;
+    stream_origin_ask ask;
+};
+
+struct send_origin_answer {
+    std::string address;
+    stream_origin_answer answer;
+};
+
 // Reads the configuration and the endpoint entries up to their ends. Entries before the position are known already.
 struct read_directory {
     std::uint64_t position = 0;
@@ -842,6 +873,8 @@
                                    send_grant,
                                    send_record_ask,
                                    send_record_answer,
+                                   send_origin_ask,
+                                   send_origin_answer,
                                    read_directory,
                                    read_members,
                                    import_directory_changes,
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -25,6 +25,8 @@
 constexpr char grantKind = 'G';
 constexpr char recordAskKind = 'R';
 constexpr char recordAnswerKind = 'K';
+constexpr char originAskKind = 'Q';
+constexpr char originAnswerKind = 'O';
 constexpr std::size_t numberBytes = 8;
 constexpr unsigned bitsPerByte = 8;
 
@@ -402,8 +404,9 @@
 {
     record_keeping_ask ask{.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
                            .address = in.at(3).get<std::string>(),
-                           .number = wholeNumber<std::uint64_t>(in.at(4))};
-    ask.records = decodeList<stream_record>(in.at(5), [](const json &record) {
+                           .number = wholeNumber<std::uint64_t>(in.at(4)),
+                           .stores = in.at(5).get<bool>()};
+    ask.records = decodeList<stream_record>(in.at(6), [](const json &record) {
         return stream_record{wholeNumber<std::uint64_t>(record.at(0)), {{record.at(1).get<std::string>()}, {record.at(2).get<std::string>()}}};
     });
     return ask;
@@ -417,6 +420,27 @@
             .stored = in.at(5).get<bool>()};
 }
 
+stream_origin_ask readOriginAsk(const json &in)
+{
+    return {.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
+            .address = in.at(3).get<std::string>(),
+            .number = wholeNumber<std::uint64_t>(in.at(4)),
+            .stream = wholeNumber<std::uint64_t>(in.at(5)),
+            .isForHubs = in.at(6).get<bool>()};
+}
+
+stream_origin_answer readOriginAnswer(const json &in)
+{
+    stream_origin_answer answer{.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
+                                .receiverIncarnation = wholeNumber<std::uint64_t>(in.at(3)),
+                                .number = wholeNumber<std::uint64_t>(in.at(4)),
+                                .runningFor = milliseconds{wholeNumber<std::uint32_t>(in.at(5))}};
+    if (const auto &origin = in.at(6); !origin.empty()) {
+        answer.origin = stream_origin{{origin.at(0).get<std::string>()}, {origin.at(1).get<std::string>()}};
+    }
+    return answer;
+}
+
 fleet_summary readSummary(const json &in)
 {
     fleet_summary summary;
@@ -563,7 +587,7 @@
 
 std::string encodeRecordAsk(const record_keeping_ask &ask)
 {
-    const json out{format, ask.from.vm.value, ask.from.number, ask.address, ask.number, encodeList(ask.records, [](const auto &record) {
+    const json out{format, ask.from.vm.value, ask.from.number, ask.address, ask.number, ask.stores, encodeList(ask.records, [](const auto &record) {
                        return json{record.stream, record.origin.service.value, record.origin.version.value};
                    })};
     return recordAskKind + toBytes(out);
@@ -575,6 +599,19 @@
     return recordAnswerKind + toBytes(out);
 }
 
+std::string encodeOriginAsk(const stream_origin_ask &ask)
+{
+    const json out{format, ask.from.vm.value, ask.from.number, ask.address, ask.number, ask.stream, ask.isForHubs};
+    return originAskKind + toBytes(out);
+}
+
+std::string encodeOriginAnswer(const stream_origin_answer &answer)
+{
+    const auto origin = answer.origin ? json{answer.origin->service.value, answer.origin->version.value} : json::array();
+    const json out{format, answer.from.vm.value, answer.from.number, answer.receiverIncarnation, answer.number, toMilliseconds(answer.runningFor), origin};
+    return originAnswerKind + toBytes(out);
+}
+
 std::string encodeSummaryBody(const fleet_summary &summary)
 {
     json out{format,
@@ -619,9 +656,10 @@
 {
     const char kind = bytes.empty() ? '\0' : bytes.front();
     const std::size_t prefix = kind == summaryKind ? 1 + 2 * numberBytes : 1;
-    if (bytes.size() < prefix || std::string_view("HSAGRK").find(kind) == std::string_view::npos) {
-        return makeStatus(failure::MalformedMessage,
-                          "fleet message: expected a heartbeat, a summary, or an ask for a place or for keeping records or the answer to one");
+    if (bytes.size() < prefix || std::string_view("HSAGRKQO").find(kind) == std::string_view::npos) {
+        return makeStatus(
+            failure::MalformedMessage,
+            "fleet message: expected a heartbeat, a summary, or an ask for a place, for keeping records or for the origin of a stream or the answer to one");
     }
     try {
         const auto document = parseCbor(bytes.substr(prefix), failure::MalformedMessage);
@@ -654,6 +692,14 @@
         if (kind == recordAnswerKind) {
             return fleet_message{readRecordAnswer(in)};
         }
+        if (kind == originAskKind) {
+            auto ask = readOriginAsk(in);
+            return parseAddress(ask.address) ? absl::StatusOr<fleet_message>(std::move(ask))
+                                             : makeStatus(failure::MalformedMessage, "ask for an origin: expected an address of the form IP:PORT");
+        }
+        if (kind == originAnswerKind) {
+            return fleet_message{readOriginAnswer(in)};
+        }
         auto summary = readSummary(in);
         summary.receiverIncarnation = readNumber(bytes.substr(1));
         summary.acknowledged = readNumber(bytes.substr(1 + numberBytes));
--- a/shell/fleet_link.cpp
+++ b/shell/fleet_link.cpp
@@ -87,6 +87,16 @@
     sendTo(command.address, encodeRecordAnswer(command.answer));
 }
 
+void fleet_link::send(const send_origin_ask &command)
+{
+    sendTo(command.address, encodeOriginAsk(command.ask));
+}
+
+void fleet_link::send(const send_origin_answer &command)
+{
+    sendTo(command.address, encodeOriginAnswer(command.answer));
+}
+
 void fleet_link::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
--- a/shell/fleet_link.hpp
+++ b/shell/fleet_link.hpp
@@ -32,6 +32,8 @@
     void send(const send_grant &command);
     void send(const send_record_ask &command);
     void send(const send_record_answer &command);
+    void send(const send_origin_ask &command);
+    void send(const send_origin_answer &command);
 
 private:
     void receive();
--- a/shell/relay_vm.hpp
+++ b/shell/relay_vm.hpp
@@ -99,6 +99,8 @@
     void run(const send_grant &command) { m_fleetLink.send(command); }
     void run(const send_record_ask &command) { m_fleetLink.send(command); }
     void run(const send_record_answer &command) { m_fleetLink.send(command); }
+    void run(const send_origin_ask &command) { m_fleetLink.send(command); }
+    void run(const send_origin_answer &command) { m_fleetLink.send(command); }
     void run(const read_directory &command) { m_directory.run(command); }
     void run(const read_members &command) { m_directory.run(command); }
     void run(const import_directory_changes &command) { m_directory.run(command); }
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -563,6 +563,18 @@
     return out;
 }
 
+std::vector<fleet_member> fleet_view::liveHubs(time_point now) const
+{
+    std::vector<fleet_member> out;
+    for (const auto &[vm, peer] : m_members.peers()) {
+        if (peer.isLiveHub(now)) {
+            out.push_back(peer.info);
+        }
+    }
+    std::stable_partition(out.begin(), out.end(), [&](const auto &hub) { return hub.dataCentre == m_members.self().dataCentre; });
+    return out;
+}
+
 std::size_t fleet_view::heard(time_point now) const
 {
     const auto &ownDataCentre = m_members.self().dataCentre;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -101,6 +101,8 @@
     std::vector<fleet_member> otherMembers() const;
     // Returns the other VMs that may be running, those that are heard first, and otherwise in an order that differs from VM to VM.
     std::vector<fleet_member> runningMembers(time_point now) const;
+    // Returns the other hubs that this VM hears, those of its own data centre first. Only hubs hear those of other data centres.
+    std::vector<fleet_member> liveHubs(time_point now) const;
     bool isHub() const { return m_isHub; }
     // Returns whether a hub of this data centre, this VM included, is known.
     bool hasHub(time_point now) const;
--- a/src/record_keepers.cpp
+++ b/src/record_keepers.cpp
@@ -55,12 +55,17 @@
     return due;
 }
 
-std::vector<fleet_member>
-record_keepers::sendTo(std::uint64_t number, const std::vector<stream_record> &records, const std::vector<fleet_member> &candidates, time_point now)
+void record_keepers::onAsked(std::uint64_t number, const std::vector<stream_record> &records, time_point now)
 {
     auto &ask = m_asks[number];
     ask.sentAt = now;
     std::transform(records.begin(), records.end(), std::back_inserter(ask.streams), [](const auto &record) { return record.stream; });
+}
+
+std::vector<fleet_member>
+record_keepers::sendTo(std::uint64_t number, const std::vector<stream_record> &records, const std::vector<fleet_member> &candidates, time_point now)
+{
+    onAsked(number, records, now);
     std::vector<fleet_member> receivers;
     const auto storer = std::find_if(candidates.begin(), candidates.end(), [&](const auto &candidate) { return candidate.vm == m_lastStorer; });
     if (storer != candidates.end()) {
--- a/src/record_keepers.hpp
+++ b/src/record_keepers.hpp
@@ -33,7 +33,9 @@
 
     // Returns the records that other VMs are to be asked to keep now. The first ask for a record waits for a while unless the directory is known to fail.
     std::vector<stream_record> takeDue(bool directoryFails, time_point now);
-    // Registers an ask and returns its receivers: some that have not been asked lately, and the VM that has last stored records for this one.
+    // Registers an ask, so that its answers are counted.
+    void onAsked(std::uint64_t number, const std::vector<stream_record> &records, time_point now);
+    // Registers an ask to store records and returns its receivers: some that have not been asked lately, and the VM that has last stored records for this one.
     std::vector<fleet_member>
     sendTo(std::uint64_t number, const std::vector<stream_record> &records, const std::vector<fleet_member> &candidates, time_point now);
     // Returns the streams of an ask whose records the VM keeps or has stored.
@@ -73,7 +75,7 @@
             }
         }
         const bool stored = kept.streams.empty();
-        if (!stored) {
+        if (!stored && ask.stores) {
             m_promises.push_back(std::move(kept));
         }
         return {.receiverIncarnation = ask.from.number, .number = ask.number, .stored = stored};
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -714,6 +714,9 @@
     if (entry.heldUntil) {
         wakeupTime = std::min(wakeupTime, *entry.heldUntil);
     }
+    if (entry.lookup && entry.lookup->answersUntil) {
+        wakeupTime = std::min(wakeupTime, *entry.lookup->answersUntil);
+    }
     if (entry.isStream() && entry.firstEventAt && entry.attempt) {
         wakeupTime = std::min(wakeupTime, stalledAt(entry));
     }
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -23,6 +23,7 @@
             {"asks_answered", asksAnswered},
             {"record_asks", recordAsks},
             {"record_asks_answered", recordAsksAnswered},
+            {"origin_asks", originAsks},
             {"endpoint_crashes", endpointCrashes},
             {"endpoint_refusals", notRun},
             {"unmarked_answers", unmarkedAnswers},
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -29,6 +29,7 @@
     std::uint64_t asksAnswered = 0; // Asks of other VMs.
     std::uint64_t recordAsks = 0; // Asks to other VMs to keep records of streams.
     std::uint64_t recordAsksAnswered = 0; // Those of other VMs.
+    std::uint64_t originAsks = 0; // Asks to other VMs where a stream began.
     std::uint64_t endpointCrashes = 0; // Endpoints that ended while they were answering, as seen by this VM.
     std::uint64_t unmarkedAnswers = 0; // Answers whose end nothing but the end of their connection marked.
     std::uint64_t unmarkedEndsRefuted = 0; // Those of which a part was missing: the endpoint had ended, or another one had the rest.
--- a/src/relay_outcomes.cpp
+++ b/src/relay_outcomes.cpp
@@ -397,6 +397,8 @@
             abortStream(entry, "the endpoint sent no further event");
         } else if (entry.heldUntil && now >= *entry.heldUntil) {
             onHoldDue(entry);
+        } else if (entry.lookup && entry.lookup->answersUntil && now >= *entry.lookup->answersUntil) {
+            onAnswersDue(entry);
         } else if (entry.waitsForProof() && now >= *entry.unmarkedEnd->dueAt) {
             onUnmarkedEndDue(entry);
         } else if (entry.limitRetryAt && now >= *entry.limitRetryAt) {
@@ -491,6 +493,9 @@
     m_unprovedEnds.erase(entry.request.caller);
     endLimitWait(entry);
     withdrawAsk(entry);
+    if (entry.lookup) {
+        m_originAsks.erase(entry.lookup->ask);
+    }
     entry.machine.apply(relay_event::ended{});
     const auto caller = entry.request.caller;
     const auto wakeup = m_wakeupOf.find(caller);
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -116,6 +116,14 @@
     std::optional<time_point> dueAt; // Time of the next decision, if none is to be awaited.
 };
 
+// The search for the version that began a stream that is taken up.
+struct version_lookup {
+    std::uint64_t ask = 0; // Number of the ask to other VMs.
+    std::optional<time_point> answersUntil; // Set while answers of other VMs are awaited.
+    bool isDenied = false; // A VM that runs for long enough keeps no record of the stream.
+    std::optional<bool> readSucceeded; // Set when the read of the directory has ended.
+};
+
 struct relay_entry {
     relay_request request;
     std::shared_ptr<const route_table> table; // The table keeps the route and the account alive.
@@ -159,6 +167,7 @@
     bool isUnmarked = false; // Nothing but the end of the connection marked the end of the answer, which is no stream.
     std::string mediaType; // Of the head that the caller has.
     std::optional<software_version> version; // Version that began the stream, which no other one may go on with.
+    std::optional<version_lookup> lookup; // Set while the version is being looked up.
     std::optional<version_source> versionSource; // Set when the request takes a stream up whose version has been found.
     std::string heldBytes; // Events that wait for the record of the stream.
     time_point heldSince{};
@@ -204,6 +213,8 @@
     void on(const stream_records_appended &appended);
     void on(const record_keeping_ask &ask);
     void on(const record_keeping_answer &answer);
+    void on(const stream_origin_ask &ask);
+    void on(const stream_origin_answer &answer);
     void on(const default_versions_set &message);
     void on(const stream_records_lost &message);
     // Looks for lost answers that an announcement of an endpoint explains.
@@ -304,7 +315,11 @@
     // Versions of streams.
     bool bindVersion(relay_entry &entry);
     void lookUpVersion(relay_entry &entry);
-    void onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin);
+    void askOrigin(relay_entry &entry, std::uint64_t stream);
+    void onAnswersDue(relay_entry &entry);
+    void decideVersion(relay_entry &entry);
+    void onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin, version_source source);
+    void sendCopies(const stream_record &record, time_point now);
     bool isSafelyRecorded(const relay_entry &entry) const;
     void releaseHeld(relay_entry &entry);
     void releaseRecorded(const std::vector<std::uint64_t> &streams);
@@ -424,6 +439,8 @@
     record_keepers m_keepers;
     kept_records m_keptRecords;
     std::uint64_t m_lastRecordAsk = 0;
+    std::unordered_map<std::uint64_t, caller_id> m_originAsks; // Requests that ask other VMs where their streams began.
+    std::uint64_t m_lastOriginAsk = 0;
     std::vector<caller_id> m_lookups; // Requests that wait for a read of the records to begin.
     std::vector<caller_id> m_openLookups; // Requests that wait for the open read.
     std::optional<time_point> m_silenceCheckAt;
--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -13,6 +13,8 @@
 // Events wait for the record of their stream for this time at most. A directory that answers takes some milliseconds.
 constexpr duration holdTime = milliseconds{1000};
 constexpr duration holdCheckInterval = milliseconds{100};
+constexpr std::size_t copiesPerRecord = 2; // Beside the record in the directory.
+constexpr duration originAnswerTime = milliseconds{100}; // Other VMs answer within some milliseconds.
 constexpr duration unknownVersionRetry = milliseconds{300}; // The directory may answer again by then.
 constexpr duration defaultsReadInterval = std::chrono::seconds{1};
 
@@ -39,6 +41,7 @@
     const stream_origin origin{entry.service, attempt.version};
     if (m_components.versions.begin(stream, origin, now)) {
         m_keepers.add({stream, origin}, now);
+        sendCopies({stream, origin}, now);
         entry.heldSince = now;
         entry.heldUntil = now + holdCheckInterval;
         m_held.emplace(stream, entry.request.caller);
@@ -135,7 +138,7 @@
     const auto now = m_components.clock.now();
     auto &versions = m_components.versions;
     for (const auto &record : ask.records) {
-        versions.keep(record, now);
+        versions.keep(record, ask.stores, now);
     }
     auto answer = m_keptRecords.add(
         ask, [&](std::uint64_t stream) { return versions.isStored(stream); }, now);
@@ -180,21 +183,149 @@
     }
 }
 
+// Has hubs keep copies of a record, as the directory may lose it.
+void relay_requests::sendCopies(const stream_record &record, time_point now)
+{
+    auto hubs = m_components.fleet.liveHubs(now);
+    hubs.resize(std::min(hubs.size(), copiesPerRecord));
+    if (hubs.empty()) {
+        return;
+    }
+    const auto ask = std::make_shared<const record_keeping_ask>(record_keeping_ask{
+        .from = m_components.settings.self, .address = m_components.settings.peerAddress, .number = ++m_lastRecordAsk, .stores = false, .records = {record}});
+    m_keepers.onAsked(ask->number, ask->records, now);
+    for (const auto &hub : hubs) {
+        ++m_components.metrics.recordAsks;
+        m_components.commands.push_back(send_record_ask{hub.address, ask});
+    }
+}
+
 // Looks for the version that began the stream before the request is placed. What this VM has read before may lack a stream that began elsewhere.
 void relay_requests::lookUpVersion(relay_entry &entry)
 {
-    const auto known = entry.request.resumes.empty() ? std::nullopt : m_components.versions.findKnown(streamKeyOf(entry.request.resumes));
+    const auto stream = streamKeyOf(entry.request.resumes);
+    const auto known = entry.request.resumes.empty() ? std::nullopt : m_components.versions.findKnown(stream);
     if (known) {
-        entry.versionSource = version_source::Memory;
-        onVersionFound(entry, known);
+        onVersionFound(entry, known, version_source::Memory);
         return;
     }
     m_lookups.push_back(entry.request.caller);
+    entry.lookup.emplace();
+    if (!entry.request.resumes.empty()) {
+        askOrigin(entry, stream);
+    }
     scheduleWakeup(entry);
 }
 
-void relay_requests::onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin)
+// Asks the hubs that keep copies of records. Their answers count while the directory cannot be read, or has lost records.
+void relay_requests::askOrigin(relay_entry &entry, std::uint64_t stream)
 {
+    const auto now = m_components.clock.now();
+    const auto &fleet = m_components.fleet;
+    const auto hubs = fleet.liveHubs(now);
+    if (hubs.empty()) {
+        return;
+    }
+    entry.lookup->ask = ++m_lastOriginAsk;
+    entry.lookup->answersUntil = now + originAnswerTime;
+    m_originAsks.emplace(entry.lookup->ask, entry.request.caller);
+    for (const auto &hub : hubs) {
+        ++m_components.metrics.originAsks;
+        m_components.commands.push_back(send_origin_ask{hub.address,
+                                                        {.from = m_components.settings.self,
+                                                         .address = m_components.settings.peerAddress,
+                                                         .number = entry.lookup->ask,
+                                                         .stream = stream,
+                                                         .isForHubs = !fleet.isHub()}});
+    }
+}
+
+void relay_requests::on(const stream_origin_ask &ask)
+{
+    const auto now = m_components.clock.now();
+    const auto &versions = m_components.versions;
+    m_components.commands.push_back(send_origin_answer{ask.address,
+                                                       {.from = m_components.settings.self,
+                                                        .receiverIncarnation = ask.from.number,
+                                                        .number = ask.number,
+                                                        .origin = versions.findKnown(ask.stream),
+                                                        .runningFor = versions.runningFor(now)}});
+    if (!ask.isForHubs || !m_components.fleet.isHub()) {
+        return;
+    }
+    auto passedOn = ask;
+    passedOn.isForHubs = false;
+    for (const auto &hub : m_components.fleet.liveHubs(now)) {
+        if (hub.dataCentre != m_components.settings.dataCentre) {
+            m_components.commands.push_back(send_origin_ask{hub.address, passedOn});
+        }
+    }
+}
+
+void relay_requests::on(const stream_origin_answer &answer)
+{
+    const auto found = m_originAsks.find(answer.number);
+    if (answer.receiverIncarnation != m_components.settings.self.number || found == m_originAsks.end()) {
+        return;
+    }
+    auto &entry = *m_entries.at(found->second);
+    if (answer.origin) {
+        m_components.versions.keep({streamKeyOf(entry.request.resumes), *answer.origin}, false, m_components.clock.now());
+        onVersionFound(entry, answer.origin, version_source::OtherVm);
+        return;
+    }
+    // Nobody takes a stream up that began longer ago than its route allows.
+    entry.lookup->isDenied = entry.lookup->isDenied || answer.runningFor >= entry.route->timeout;
+}
+
+void relay_requests::onAnswersDue(relay_entry &entry)
+{
+    entry.lookup->answersUntil.reset();
+    decideVersion(entry);
+    if (entry.lookup) {
+        scheduleWakeup(entry);
+    }
+}
+
+// Decides where the stream began, unless what is still awaited may tell.
+void relay_requests::decideVersion(relay_entry &entry)
+{
+    const auto now = m_components.clock.now();
+    const auto &versions = m_components.versions;
+    const auto &lookup = *entry.lookup;
+    const auto stream = streamKeyOf(entry.request.resumes);
+    if (const auto known = versions.findKnown(stream)) {
+        onVersionFound(entry, known, version_source::Record);
+        return;
+    }
+    const bool readSucceeded = lookup.readSucceeded.value_or(false);
+    const bool isAwaited = lookup.answersUntil.has_value() && !(readSucceeded && versions.isComplete(now));
+    if (isAwaited) {
+        return;
+    }
+    if (readSucceeded) {
+        onVersionFound(entry, versions.find(stream, entry.service, true, now), version_source::Default);
+        return;
+    }
+    if (const auto origin = lookup.isDenied ? versions.find(stream, entry.service, true, now) : std::nullopt) {
+        onVersionFound(entry, origin, version_source::DefaultOfVms);
+        return;
+    }
+    if (!lookup.readSucceeded) {
+        return;
+    }
+    // Versions may have joined that a VM does not know which neither reads the directory nor hears all others.
+    const bool mayLackVersions = m_components.fleet.heard(now) < m_components.fleet.members(now);
+    onVersionFound(entry, mayLackVersions ? std::nullopt : versions.find(stream, entry.service, false, now), version_source::OnlyVersion);
+}
+
+void relay_requests::onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin, version_source source)
+{
+    if (entry.lookup) {
+        m_originAsks.erase(entry.lookup->ask);
+        entry.lookup.reset();
+    }
+    entry.versionSource = source;
     if (!origin) {
         failRequest(entry, failure::StreamVersionUnknown, outcome::NotRun, "the version that began the stream is not known", unknownVersionRetry);
         return;
@@ -218,24 +349,17 @@
     const auto now = m_components.clock.now();
     m_readOpen = false;
     m_components.versions.on(read, now);
-    // Versions may have joined that a VM does not know which neither reads the directory nor hears all others.
-    const bool mayLackVersions = !read.succeeded && m_components.fleet.heard(now) < m_components.fleet.members(now);
     for (const auto caller : std::exchange(m_openLookups, {})) {
         const auto found = m_entries.find(caller);
-        if (found == m_entries.end()) {
-            continue;
+        if (found == m_entries.end() || !found->second->lookup) {
+            continue; // Another VM has told the version.
         }
         auto &entry = *found->second;
-        const auto &resumes = entry.request.resumes;
-        if (resumes.empty()) {
-            onVersionFound(entry, m_components.versions.findWithoutId(entry.service, read.succeeded, now));
-        } else if (mayLackVersions) {
-            entry.versionSource = version_source::Record;
-            onVersionFound(entry, m_components.versions.findKnown(streamKeyOf(resumes)));
+        entry.lookup->readSucceeded = read.succeeded;
+        if (entry.request.resumes.empty()) {
+            onVersionFound(entry, m_components.versions.findWithoutId(entry.service, read.succeeded, now), version_source::Default);
         } else {
-            const bool hasRecord = m_components.versions.findKnown(streamKeyOf(resumes)).has_value();
-            entry.versionSource = hasRecord ? version_source::Record : read.succeeded ? version_source::Default : version_source::OnlyVersion;
-            onVersionFound(entry, m_components.versions.find(streamKeyOf(resumes), entry.service, read.succeeded, now));
+            decideVersion(entry);
         }
     }
 }
--- a/src/stream_versions.cpp
+++ b/src/stream_versions.cpp
@@ -76,16 +76,17 @@
     if (isDefault && !m_streams.contains(stream)) {
         return false;
     }
-    m_streams[stream] = {origin, now, true};
+    m_streams[stream] = {origin, now, true, true};
     m_unsent.push_back({stream, origin});
     return true;
 }
 
-void stream_versions::keep(const stream_record &record, time_point now)
+void stream_versions::keep(const stream_record &record, bool stores, time_point now)
 {
-    const auto [it, added] = m_streams.try_emplace(record.stream, known_stream{record.origin, now, true});
-    if (added || (!it->second.isOwn && !it->second.isStored)) {
-        it->second.isOwn = true;
+    auto &known = m_streams.try_emplace(record.stream, known_stream{record.origin, now}).first->second;
+    known.isOwn = true;
+    if (stores && !known.isStored && !known.isQueued) {
+        known.isQueued = true;
         m_unsent.push_back(record);
     }
 }
@@ -201,6 +202,9 @@
 
 void stream_versions::on(const stream_records_read &read, time_point now)
 {
+    if (read.lacksOlder) {
+        m_lacksOlderUntil = now + streamLifetime;
+    }
     for (const auto &record : read.streams) {
         auto &known = m_streams[record.stream];
         known.origin = record.origin;
@@ -228,6 +232,7 @@
     for (auto &[stream, known] : m_streams) {
         known.isStored = false;
         if (known.isOwn && now - known.at < streamLifetime) {
+            known.isQueued = true;
             m_unsent.push_back({stream, known.origin});
         }
     }
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -22,13 +22,15 @@
 enum class version_source : std::uint8_t {
     Memory, // It began here, or a read for another stream has returned its record.
     Record, // The read for this stream has returned its record.
+    OtherVm, // Another VM keeps its record.
     Default, // There is no record of it.
+    DefaultOfVms, // The directory could not be read, and other VMs keep no record of it.
     OnlyVersion, // The directory could not be read, and no other version has served.
 };
 
 constexpr std::string_view nameOf(version_source value)
 {
-    constexpr std::string_view names[]{"memory", "record", "default", "only_version"};
+    constexpr std::string_view names[]{"memory", "record", "other_vm", "default", "default_of_vms", "only_version"};
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -50,8 +52,8 @@
 
     // Records the begin of a stream. Returns whether it needs a record, for which its first event has to wait.
     bool begin(std::uint64_t stream, const stream_origin &origin, time_point now);
-    // Keeps a record of another VM and stores it.
-    void keep(const stream_record &record, time_point now);
+    // Keeps a record of another VM, and stores it as well if that is wanted.
+    void keep(const stream_record &record, bool stores, time_point now);
     // Another VM has stored records of this one.
     void onStoredElsewhere(const std::vector<std::uint64_t> &streams, time_point now);
     bool isStored(std::uint64_t stream) const;
@@ -63,6 +65,10 @@
     // Returns the version at which streams need no record, if this VM knows one.
     std::optional<software_version> defaultVersion(const service_name &service) const;
 
+    // Returns whether the lack of a record after a read tells that a stream began at the default version.
+    bool isComplete(time_point now) const { return !m_lacksOlderUntil || now >= *m_lacksOlderUntil; }
+    duration runningFor(time_point now) const { return now - m_startedAt; }
+
     // Returns where a stream began if no read of the directory is needed to tell.
     std::optional<stream_origin> findKnown(std::uint64_t stream) const;
     // Returns where a stream began, after a read of the directory that has succeeded or failed, or nothing if that cannot be known.
@@ -100,6 +106,7 @@
         stream_origin origin;
         time_point at{};
         bool isOwn = false; // This VM has recorded it, for itself or for another VM.
+        bool isQueued = false; // It is appended until the directory has it.
         bool isStored = false; // The directory has the record.
     };
 
@@ -122,6 +129,7 @@
     time_point m_retryAt{};
     time_point m_nextDefaultsAt{};
     bool m_failing = false;
+    std::optional<time_point> m_lacksOlderUntil; // Until then, streams may be taken up whose records the directory has lost.
     std::optional<time_point> m_storedElsewhereAt; // Time at which another VM last told that it has stored records of this one.
 };
 
--- a/test/joined_stream_versions_test.cpp
+++ b/test/joined_stream_versions_test.cpp
@@ -471,6 +471,57 @@
     play.check();
 }
 
+// Guards against the records of a lost VM being gone from the directory, so that its streams are taken for ones at the default version.
+void playLossOfHistory(int vmsPerDataCentre, int dataCentres)
+{
+    version_play play(vmsPerDataCentre, dataCentres);
+    play.eventPause = milliseconds{200};
+    play.busyVm = 0;
+    play.start();
+    for (int round = 0; round < 3; ++round) {
+        play.load(seconds{4}, 40);
+        play.fleet.forgetStreams();
+        play.load(milliseconds{500}, 40);
+        play.killOne(0, milliseconds{500});
+        play.load(seconds{4}, 40);
+    }
+    play.fleet.runFor(seconds{12});
+    play.check();
+    BOOST_TEST(play.whole() == play.streams.size(), play.whole() << " of " << play.streams.size() << " streams are whole");
+}
+
+BOOST_AUTO_TEST_CASE(theDirectoryForgetsItsHistoryAndAVmIsKilledAt3Vms)
+{
+    playLossOfHistory(1, 3);
+}
+
+BOOST_AUTO_TEST_CASE(theDirectoryForgetsItsHistoryAndAVmIsKilledAt60Vms)
+{
+    playLossOfHistory(20, 3);
+}
+
+BOOST_AUTO_TEST_CASE(theDirectoryForgetsItsHistoryAndAVmIsKilledAt295Vms)
+{
+    playLossOfHistory(59, 5);
+}
+
+// Guards against refusals of streams that are taken up while the directory cannot be read, although other VMs know where they began.
+BOOST_AUTO_TEST_CASE(streamsAreTakenUpWhileTheDirectoryIsDown)
+{
+    version_play play(1, 3);
+    play.eventPause = milliseconds{200};
+    play.breakPermille = 300;
+    play.start();
+    play.load(seconds{20}, 20);
+    play.fleet.directoryDown = true;
+    play.load(milliseconds{4500}, 20);
+    play.fleet.directoryDown = false;
+    play.load(seconds{2}, 20);
+    play.fleet.runFor(seconds{12});
+    play.check();
+    BOOST_TEST(play.failures[failure::StreamVersionUnknown] == 0);
+}
+
 // Guards against the same where no VM stores records, and one is lost: the others keep its records.
 BOOST_AUTO_TEST_CASE(aVmIsKilledWhileTheDirectoryIsDown)
 {
--- a/test/record_keepers_test.cpp
+++ b/test/record_keepers_test.cpp
@@ -128,6 +128,7 @@
     const auto &got = std::get<record_keeping_ask>(*decoded);
     BOOST_TEST((got.from == ask.from && got.address == ask.address && got.number == ask.number));
     BOOST_REQUIRE(got.records.size() == 1U);
+    BOOST_TEST(got.stores == ask.stores);
     BOOST_TEST(got.records.front().stream == ask.records.front().stream);
     BOOST_TEST((got.records.front().origin == origin));
     for (const bool stored : {false, true}) {
@@ -136,6 +137,16 @@
         BOOST_TEST(std::get<record_keeping_answer>(*answer).stored == stored);
         BOOST_TEST(std::get<record_keeping_answer>(*answer).number == 3U);
     }
+    const auto question = decodeFleetMessage(encodeOriginAsk({.from = ask.from, .address = ask.address, .number = 4, .stream = 7, .isForHubs = false}));
+    BOOST_REQUIRE(question.ok());
+    BOOST_TEST((std::get<stream_origin_ask>(*question).stream == 7U && !std::get<stream_origin_ask>(*question).isForHubs));
+    for (const auto &known : {std::optional<stream_origin>{}, std::optional(origin)}) {
+        const auto answer = decodeFleetMessage(
+            encodeOriginAnswer({.from = {{"vm-2"}, 1}, .receiverIncarnation = 5, .number = 4, .origin = known, .runningFor = std::chrono::hours{2}}));
+        BOOST_REQUIRE(answer.ok());
+        BOOST_TEST((std::get<stream_origin_answer>(*answer).origin == known));
+        BOOST_TEST((std::get<stream_origin_answer>(*answer).runningFor == std::chrono::hours{2}));
+    }
     auto withoutAddress = ask;
     withoutAddress.address = "somewhere";
     BOOST_TEST((failureOf(decodeFleetMessage(encodeRecordAsk(withoutAddress)).status()) == failure::MalformedMessage));
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -30,6 +30,7 @@
     std::vector<std::shared_ptr<const relay_config>> configs;
     std::map<std::vector<request_trait>, quarantined_requests> quarantined;
     std::vector<stream_record> streams;
+    std::size_t streamsKept = 0; // Records before this one have been deleted.
     std::vector<stream_origin> defaults; // In the order in which they were set.
     std::uint64_t reads = 0;
     // Records of the operator: the data centre, and whether the record evacuates it or was deleted.
@@ -155,6 +156,9 @@
     void announce(const relay_endpoint &endpoint, bool change = true) { directory.log.push_back({endpoint.name, endpoint, change}); }
     void withdraw(const std::string &name) { directory.log.push_back({{name}, std::nullopt, true}); }
 
+    // The directory loses its history.
+    void forgetStreams() { directory.streamsKept = directory.streams.size(); }
+
     // Writes a record of the operator that evacuates a data centre, or deletes it.
     void evacuate(const std::string &dataCentre, bool inForce = true) { directory.operatorLog.emplace_back(data_centre_name{dataCentre}, inForce); }
     // The directory comes back from a copy that holds the first records of the operator.
@@ -431,6 +435,11 @@
     {
         transmit(index, command.address, encodeRecordAnswer(command.answer).size(), std::move(command.answer));
     }
+    void on(std::size_t index, send_origin_ask &command) { transmit(index, command.address, encodeOriginAsk(command.ask).size(), std::move(command.ask)); }
+    void on(std::size_t index, send_origin_answer &command)
+    {
+        transmit(index, command.address, encodeOriginAnswer(command.answer).size(), std::move(command.answer));
+    }
     void on(std::size_t index, read_directory &command)
     {
         ++directory.reads;
@@ -524,6 +533,8 @@
             [this, index, startedAt, defaults = command.defaults] {
                 stream_records_read read{.succeeded = true, .age = m_clock.now() - startedAt + milliseconds{2}};
                 auto &next = vms[index].streamsNext;
+                read.lacksOlder = next < directory.streamsKept;
+                next = std::max(next, directory.streamsKept);
                 read.streams.assign(directory.streams.begin() + static_cast<std::ptrdiff_t>(std::min(next, directory.streams.size())), directory.streams.end());
                 next = directory.streams.size();
                 if (defaults) {
--- a/test/stream_versions_test.cpp
+++ b/test/stream_versions_test.cpp
@@ -149,9 +149,9 @@
     announce("dec-1", v1);
     announce("dec-2", v2);
     readDefaults({{llm, v1}}, {{2, {llm, v2}}});
-    versions.keep({1, {llm, v2}}, now);
-    versions.keep({1, {llm, v2}}, now);
-    versions.keep({2, {llm, v2}}, now); // The directory has it.
+    versions.keep({1, {llm, v2}}, true, now);
+    versions.keep({1, {llm, v2}}, true, now);
+    versions.keep({2, {llm, v2}}, true, now); // The directory has it.
     BOOST_TEST((versions.findKnown(1) == stream_origin{llm, v2}));
     const auto records = versions.takeRecords(now);
     BOOST_REQUIRE(records.has_value());
@@ -159,6 +159,22 @@
     BOOST_TEST(!versions.isStored(1));
     versions.on(stream_records_appended{true}, now);
     BOOST_TEST(versions.isStored(1));
+    // A copy is stored only when its VM asks for it, or the directory has lost records.
+    versions.keep({3, {llm, v2}}, false, now);
+    BOOST_TEST((versions.findKnown(3) == stream_origin{llm, v2}));
+    BOOST_TEST(!versions.takeRecords(now).has_value());
+    versions.keep({3, {llm, v2}}, true, now);
+    BOOST_TEST(versions.takeRecords(now).has_value());
+}
+
+// Guards against the lack of a record counting as a begin at the default version while the directory has lost records.
+BOOST_AUTO_TEST_CASE(aReadThatLacksOlderRecordsIsNotComplete)
+{
+    BOOST_TEST(versions.isComplete(now));
+    versions.on(stream_records_read{.succeeded = true, .lacksOlder = true}, now);
+    BOOST_TEST(!versions.isComplete(now));
+    now += stream_versions::streamLifetime;
+    BOOST_TEST(versions.isComplete(now));
 }
 
 BOOST_AUTO_TEST_CASE(theDefaultChangesOnlyWhenNoOtherVersionHasServedForALifetime)
