Keep bound streams from an endpoint whose known run has ended until the directory shows the next

Cause: the version of an endpoint is that of its last entry, and a VM that had seen the run of this entry end (a refused connection after a broken answer, its own or one that another VM reports) kept no trace of this beyond a pause of up to 2 s. The entry of a run counted as a statement on the run after it.

Change: such an endpoint takes no stream that is bound to a version until the directory shows its next run, or has answered for two seconds without showing one, in which time a run that lives writes its entry. New streams may begin there, as before. They are bound to that run alone, which no other endpoint joins.

An endpoint that is back before any VM has found its listener closed is not noticed while the store is away; no test shows that.

--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -150,6 +150,11 @@
     return std::min(bySlots, permitRate(now).value_or(bySlots));
 }
 
+software_version endpoint_entry::currentVersion() const
+{
+    return runEndedAt ? software_version{"unknown:" + info.name.value + '/' + std::to_string(info.startedAt)} : info.version;
+}
+
 bool endpoint_directory::applyAnnouncement(const relay_endpoint &info, bool isChange, time_point now)
 {
     const auto [found, isNew] = m_entries.try_emplace(info.name);
@@ -169,6 +174,7 @@
         entry.wayLost = false;
         entry.connectFailedAt.reset();
         entry.endRefutedAt.reset();
+        entry.runEndedAt.reset();
     }
     if (isNew || entry.info.service != info.service) {
         const auto terms = m_coldTerms.find(info.service);
@@ -274,6 +280,11 @@
     m_leavingRuns.tick(now);
     std::erase_if(m_pauses, [&](const auto &item) { return item.second.until <= now; });
     for (auto &[name, entry] : m_entries) {
+        if (entry.runEndedAt && !m_reachable) {
+            entry.runEndedAt = now;
+        } else if (entry.runEndedAt && now - *entry.runEndedAt >= reannounceTime) {
+            entry.runEndedAt.reset(); // A next run would have written its entry by now.
+        }
         if (entry.misdirectedSince && !m_reachable) {
             // Entries of ended endpoints stay while the directory does not answer.
             entry.misdirectedSince = now;
@@ -329,7 +340,7 @@
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
         const auto &info = item.second.info;
-        return info.service == service && info.version == version && info.role != endpoint_role::Prefill && item.second.usable(now);
+        return info.service == service && item.second.serves(version) && info.role != endpoint_role::Prefill && item.second.usable(now);
     });
 }
 
@@ -356,7 +367,14 @@
 void endpoint_directory::onCrash(const endpoint_crash &crash, time_point now)
 {
     auto *const entry = find(crash.endpoint);
-    if (entry != nullptr && entry->info.startedAt == crash.startedAt && entry->downUntil <= now && crash.age < maxDownTime) {
+    if (entry == nullptr || entry->info.startedAt != crash.startedAt) {
+        return;
+    }
+    const bool isNew = crash.age < maxDownTime;
+    if (isNew || !m_reachable) {
+        entry->runEndedAt = now;
+    }
+    if (isNew && entry->downUntil <= now) {
         entry->onUnreachable(now);
     }
 }
@@ -504,7 +522,7 @@
     }
     bool anyClosed = false;
     for (const auto &[name, entry] : m_entries) {
-        const bool mayServe = entry.info.service == service && entry.info.role != endpoint_role::Prefill && (!version || entry.info.version == *version);
+        const bool mayServe = entry.info.service == service && entry.info.role != endpoint_role::Prefill && entry.serves(version);
         if (mayServe && entry.usable(now)) {
             return false;
         }
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -87,9 +87,15 @@
     bool wayLost = false; // Proxies reach the endpoint while connections of this VM fail.
     std::optional<time_point> endRefutedAt; // This run ended a stream without a mark, and another endpoint had the rest.
     bool leaving = false; // This run has said that it leaves, whatever the directory lists.
+    // A connection has shown that this run has ended. Until the directory shows the next one, it is not known which version runs at the address.
+    std::optional<time_point> runEndedAt;
     // Set while its data centre is evacuated: it gets no request from this time on, and before it only if no other endpoint has room.
     std::optional<time_point> closedFrom;
 
+    // Returns whether a stream of the version may go on here. Without a version, any may.
+    bool serves(const std::optional<software_version> &version) const { return !version || (!runEndedAt && info.version == *version); }
+    // Returns the version of what runs at the address, or a name that no other endpoint has if that is not known.
+    software_version currentVersion() const;
     // Returns whether the directory lists the endpoint as one that takes requests.
     bool isListed(time_point now) const;
     // Returns whether this run is about to end by plan, as far as it or the directory tells.
--- a/src/placer.cpp
+++ b/src/placer.cpp
@@ -61,7 +61,7 @@
     auto holdTime = std::max<duration>(request.holdTime, std::chrono::milliseconds{1});
     auto candidates = plainCandidates(request.service, now);
     std::erase_if(candidates, [&](const auto *candidate) {
-        return (request.version && candidate->info.version != *request.version) || (request.bound && request.excluded.contains(candidate->info.name));
+        return !candidate->serves(request.version) || (request.bound && request.excluded.contains(candidate->info.name));
     });
     for (const auto *candidate : candidates) {
         slots += candidate->info.slots;
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -472,7 +472,7 @@
     const auto endpoints = m_components.endpoints.entriesOf(entry.service);
     return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto *endpoint) {
         const auto &info = endpoint->info;
-        return info.role != endpoint_role::Prefill && endpoint->usable(now) && homes.allow(info.dataCentre) && (!version || info.version == *version);
+        return info.role != endpoint_role::Prefill && endpoint->usable(now) && homes.allow(info.dataCentre) && endpoint->serves(version);
     });
 }
 
--- a/src/relay_asks.cpp
+++ b/src/relay_asks.cpp
@@ -111,7 +111,7 @@
     bool anyAvoided = false;
     for (const auto *endpoint : m_components.endpoints.entriesOf(entry.service)) {
         const auto &info = endpoint->info;
-        const bool serves = info.role != endpoint_role::Prefill && (!request.version || info.version == *request.version);
+        const bool serves = info.role != endpoint_role::Prefill && endpoint->serves(request.version);
         if (!serves || !endpoint->acceptsWork(now) || endpoint->isClosed(now) || request.excluded.contains(info.name)) {
             continue;
         }
@@ -180,7 +180,7 @@
     };
     const model_placement placement{usable(grant.prefill), usable(grant.serving), {}};
     m_components.metrics.placementWait.add(now - entry.arrivedAt);
-    const bool hasVersion = placement.decode != nullptr && (!entry.version || placement.decode->info.version == *entry.version);
+    const bool hasVersion = placement.decode != nullptr && placement.decode->serves(entry.version);
     // The hub may know an endpoint that this VM does not. It would grant it again and again to a request that has to stay in its homes.
     for (const auto &name : {grant.prefill, grant.serving}) {
         const auto *const endpoint = m_components.endpoints.find(name);
--- a/src/relay_attempts.cpp
+++ b/src/relay_attempts.cpp
@@ -85,7 +85,7 @@
                                   endpoint.info.name,
                                   endpoint.announcements,
                                   endpoint.info.startedAt,
-                                  endpoint.info.version,
+                                  endpoint.currentVersion(),
                                   proxy.value_or(std::string{}),
                                   kind,
                                   now,
@@ -408,6 +408,7 @@
     recordCrash(checked.endpoint);
     if (auto *const endpoint = m_components.endpoints.find(checked.endpoint)) {
         endpoint->onUnreachable(now);
+        endpoint->runEndedAt = now;
     }
 }
 
@@ -457,7 +458,7 @@
     entry->source = prefill_source{address, std::move(reply.handle)};
     entry->prefilledAt = m_components.clock.now();
     auto *const decode = m_components.endpoints.find(entry->reservationEndpoint);
-    const bool hasVersion = decode != nullptr && (!entry->version || decode->info.version == *entry->version);
+    const bool hasVersion = decode != nullptr && decode->serves(entry->version);
     const auto now = m_components.clock.now();
     // An endpoint that has become cold meanwhile takes no request without a permit.
     const bool isPermitted = decode != nullptr && (entry->reservationWasCold || !decode->warmup.isCold(now));
--- a/src/relay_placement.cpp
+++ b/src/relay_placement.cpp
@@ -54,7 +54,7 @@
 
 bool mayServe(const endpoint_entry &entry, const placement_context &context)
 {
-    return eligible(entry, context) && (!context.version || entry.info.version == *context.version);
+    return eligible(entry, context) && entry.serves(context.version);
 }
 
 std::optional<work_time_reading> workTimeOf(const endpoint_entry &entry, const placement_context &context)
--- a/test/joined_stream_versions_test.cpp
+++ b/test/joined_stream_versions_test.cpp
@@ -30,6 +30,7 @@
             tryAgain(failed.caller, failed.retryAfter.value_or(milliseconds{200}));
         };
         fleet.onAttemptAbort = [this](std::size_t index, attempt_number attempt) { open.erase({fleet.vms[index].core.get(), attempt}); };
+        fleet.listens = [this](const endpoint_name &name) { return !ended.contains(name); };
     }
 
     void start()
@@ -65,10 +66,34 @@
         fleet.withdraw(name.value);
     }
 
+    // Ends an endpoint with its connections. It starts again under its name and address, and the directory has its new entry when it announces it.
+    void crash(int number, const std::string &nextVersion, duration pause)
+    {
+        const endpoint_name name{"dec-" + std::to_string(number)};
+        ended.insert(name);
+        for (const auto &[core, attempt] : std::set(open)) {
+            const auto found = dispatched.find({core, attempt});
+            if (found != dispatched.end() && found->second.first == name) {
+                open.erase({core, attempt});
+                fleet.deliver(found->second.second, relay_attempt_ended{attempt, reply_outcome::Broken});
+            }
+        }
+        versions[name] = nextVersion;
+        fleet.schedule(pause, [this, name] { ended.erase(name); });
+    }
+
     void onDispatch(std::size_t index, const relay_dispatch &dispatch)
     {
         const auto *const core = fleet.vms[index].core.get();
         open.insert({core, dispatch.attempt});
+        if (ended.contains(dispatch.endpoint)) {
+            schedule(index, core, dispatch.attempt, milliseconds{1}, [this, index, dispatch, core] {
+                open.erase({core, dispatch.attempt});
+                fleet.deliver(index, relay_attempt_ended{dispatch.attempt, reply_outcome::NotSent});
+            });
+            return;
+        }
+        dispatched[{core, dispatch.attempt}] = {dispatch.endpoint, index};
         const auto version = versions.contains(dispatch.endpoint) ? versions.at(dispatch.endpoint) : std::string("gone");
         const auto first = dispatch.resumeAfter.value_or(0) + 1;
         schedule(index, core, dispatch.attempt, milliseconds{8}, [this, index, dispatch] { fleet.deliver(index, stream_head{.attempt = dispatch.attempt}); });
@@ -237,6 +262,8 @@
     int endpointsAtStart = 4;
     std::map<endpoint_name, std::string> versions;
     std::set<std::pair<const relay_core *, attempt_number>> open;
+    std::map<std::pair<const relay_core *, attempt_number>, std::pair<endpoint_name, std::size_t>> dispatched;
+    std::set<endpoint_name> ended;
     std::vector<stream> streams;
     std::map<caller_id, std::size_t> current;
     std::map<failure, int> failures;
@@ -542,4 +569,36 @@
     play.check();
 }
 
+// Guards against streams going on at an endpoint that is back under its id with another version while the directory cannot show its new entry.
+void playCrashesInAnOutage(int vmsPerDataCentre, int dataCentres)
+{
+    version_play play(vmsPerDataCentre, dataCentres);
+    play.firstVersion = "v1.1";
+    play.eventPause = milliseconds{200};
+    play.start();
+    play.load(seconds{4}, 34);
+    play.fleet.directoryDown = true;
+    play.crash(1, "v1.2", seconds{1});
+    play.load(milliseconds{3200}, 34);
+    play.crash(2, "v1.2", seconds{2});
+    play.load(milliseconds{1300}, 34);
+    play.fleet.directoryDown = false;
+    play.announce(1, "v1.2", 2);
+    play.load(milliseconds{700}, 34);
+    play.announce(2, "v1.2", 2);
+    play.load(seconds{3}, 34);
+    play.fleet.runFor(seconds{12});
+    play.check();
+}
+
+BOOST_AUTO_TEST_CASE(anEndpointIsBackWithAnotherVersionInAnOutageAt3Vms)
+{
+    playCrashesInAnOutage(1, 3);
+}
+
+BOOST_AUTO_TEST_CASE(anEndpointIsBackWithAnotherVersionInAnOutageAt60Vms)
+{
+    playCrashesInAnOutage(20, 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
