Do not use a request after the decision on its version has ended it

Fault of, found while reading the change: when the answers of other VMs are due, the decision may refuse the request (its version is gone, or not known), and the handler looked at the request once more afterwards. The handler looks the request up again now.

Test: unit/joined_stream_versions, aStreamOfAVersionThatIsGoneIsRefusedAfterALossOfHistory, takes that way; without a sanitizer it passed before as well, as the freed memory was not reused.

--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -280,10 +280,12 @@
 
 void relay_requests::onAnswersDue(relay_entry &entry)
 {
+    const auto caller = entry.request.caller;
     entry.lookup->answersUntil.reset();
     decideVersion(entry);
-    if (entry.lookup) {
-        scheduleWakeup(entry);
+    // The decision may have ended the request.
+    if (const auto found = m_entries.find(caller); found != m_entries.end() && found->second->lookup) {
+        scheduleWakeup(*found->second);
     }
 }
 
--- a/test/joined_stream_versions_test.cpp
+++ b/test/joined_stream_versions_test.cpp
@@ -332,4 +332,21 @@
     playCrashesInAnOutage(20, 3);
 }
 
+// Guards against the use of a request that the decision on its version has refused: it waited for other VMs, and no endpoint has its version any more.
+BOOST_AUTO_TEST_CASE(aStreamOfAVersionThatIsGoneIsRefusedAfterALossOfHistory)
+{
+    version_play play(1, 3);
+    play.start();
+    play.load(seconds{3}, 20);
+    play.leave(1);
+    play.leave(2);
+    play.fleet.runFor(seconds{3});
+    play.fleet.forgetStreams();
+    for (std::size_t vm = 0; vm < play.fleet.vms.size(); ++vm) {
+        play.fleet.submitStream(vm, "/resume/1", "id-of-a-stream-without-a-record", 3);
+    }
+    play.fleet.runFor(seconds{1});
+    BOOST_TEST(play.failures[failure::StreamVersionGone] == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
