Log on what the default version of a taken-up stream rests

After a loss of history, version_from=default named three cases alike: a read that lacks nothing, a denial of another VM, and 100 ms without an answer. No decision changes.

--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -306,7 +306,10 @@
         return;
     }
     if (readSucceeded) {
-        onVersionFound(entry, versions.find(stream, entry.service, true, now), version_source::Default);
+        const auto source = versions.isComplete(now) ? version_source::Default
+                            : lookup.isDenied        ? version_source::DefaultOfVms
+                                                     : version_source::DefaultUnanswered;
+        onVersionFound(entry, versions.find(stream, entry.service, true, now), source);
         return;
     }
     if (const auto origin = lookup.isDenied ? versions.find(stream, entry.service, true, now) : std::nullopt) {
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -23,14 +23,15 @@
     Memory, // It began here, or a read for another stream has returned its record.
     Record, // The read for this stream has returned its record.
     OtherVm, // Another VM keeps its record.
-    Default, // There is no record of it.
-    DefaultOfVms, // The directory could not be read, and other VMs keep no record of it.
+    Default, // A read that lacks nothing has shown no record of it.
+    DefaultOfVms, // The directory lacks records or could not be read, and other VMs keep no record of it.
+    DefaultUnanswered, // The directory lacks records, and no other VM has told whether it keeps one.
     OnlyVersion, // The directory could not be read, and no other version has served.
 };
 
 constexpr std::string_view nameOf(version_source value)
 {
-    constexpr std::string_view names[]{"memory", "record", "other_vm", "default", "default_of_vms", "only_version"};
+    constexpr std::string_view names[]{"memory", "record", "other_vm", "default", "default_of_vms", "default_unanswered", "only_version"};
     return names[static_cast<std::size_t>(value)];
 }
 
