Retain the records of streams in a keyed topic, so that they outlast a loss of history

The records stood in the topic "streams" alone, which goes with the history. What was left were copies at two hubs.

The store retains the newest record of each key of a keyed topic permanently. Records are appended to "keyed.streams" as well and are stored when both topics have them. A read that finds records deleted reads the retained ones. "streams" stays the log from which VMs read what is new, and older builds read it. The writer removes a record when nobody can take its stream up any more, and the first hub those of VMs that have ended, after a read of all of them each minute.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -591,7 +591,8 @@
 // Result of a read_stream_records command.
 struct stream_records_read {
     bool succeeded = false; // All records that the directory had when the read began are known.
-    bool lacksOlder = false; // The directory has lost or deleted records that this VM has not read.
+    bool lacksOlder = false; // The directory has lost records that it had acknowledged.
+    bool all = false; // The records are all that the directory retains.
     std::vector<stream_record> streams; // Records since the read before, oldest first.
     std::optional<std::vector<stream_origin>> defaults; // Default versions, if they were to be read.
     std::uint64_t defaultsEnd = 0; // Position behind the last default.
@@ -837,11 +838,13 @@
 // Reads the records of streams that were stored since the last read, and the default versions if they are wanted.
 struct read_stream_records {
     bool defaults = false;
+    bool all = false; // Reads all records that the directory retains.
 };
 
-// Stores records of streams in the directory.
+// Stores records of streams in the directory, and removes those of streams that nobody takes up any more.
 struct append_stream_records {
     std::vector<stream_record> records;
+    std::vector<std::uint64_t> expired;
 };
 
 // Sets the default versions of services if no default has been set since the position.
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -451,6 +451,7 @@
     bool m_readOpen = false;
     bool m_readsDefaults = false; // The next read includes the default versions.
     time_point m_nextDefaultsRead{};
+    std::optional<time_point> m_nextFullRead; // Next read of all records, which finds those that nobody removes.
     time_point m_nextUnreadableLoadLine{};
 };
 
--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -411,12 +411,20 @@
         m_nextDefaultsRead = now + defaultsReadInterval;
         m_readsDefaults = true;
     }
-    if (!m_readOpen && (m_readsDefaults || !m_lookups.empty())) {
+    const bool leads = m_components.fleet.leads(now);
+    if (!leads || !m_nextFullRead) {
+        m_nextFullRead = now + stream_versions::streamLifetime;
+    }
+    const bool readsAll = now >= *m_nextFullRead;
+    if (!m_readOpen && (m_readsDefaults || readsAll || !m_lookups.empty())) {
         m_readOpen = true;
         m_openLookups = std::exchange(m_lookups, {});
-        m_components.commands.push_back(read_stream_records{std::exchange(m_readsDefaults, false)});
+        m_components.commands.push_back(read_stream_records{.defaults = std::exchange(m_readsDefaults, false), .all = readsAll});
+        if (readsAll) {
+            m_nextFullRead.reset();
+        }
     }
-    if (m_components.fleet.leads(now)) {
+    if (leads) {
         if (auto missing = versions.missingDefaults(now)) {
             m_components.commands.push_back(std::move(*missing));
         }
--- a/src/stream_versions.cpp
+++ b/src/stream_versions.cpp
@@ -12,12 +12,18 @@
 
 constexpr duration appendTimeout = milliseconds{400}; // The directory does not take records if an append takes longer.
 constexpr duration appendRetry = milliseconds{150};
+constexpr duration removalInterval = std::chrono::seconds{10}; // Pause between two appends that only remove records.
 constexpr duration storedElsewhereTime = std::chrono::seconds{1}; // Other VMs count as storing records for this time after they last have.
 constexpr duration defaultsRetry = milliseconds{1500}; // Pause between two attempts to set default versions.
 // Defaults change so rarely that the first list of endpoints that a VM gets may be this much newer than the defaults that it knows.
 constexpr duration startSlack = std::chrono::seconds{10};
 constexpr duration maxTransit = milliseconds{500}; // Messages between VMs take less time than this.
 
+bool isEmpty(const append_stream_records &append)
+{
+    return append.records.empty() && append.expired.empty();
+}
+
 } // namespace
 
 std::uint64_t streamKeyOf(std::string_view requestId)
@@ -77,7 +83,7 @@
         return false;
     }
     m_streams[stream] = {origin, now, true, true};
-    m_unsent.push_back({stream, origin});
+    m_unsent.records.push_back({stream, origin});
     return true;
 }
 
@@ -85,9 +91,9 @@
 {
     auto &known = m_streams.try_emplace(record.stream, known_stream{record.origin, now}).first->second;
     known.isOwn = true;
-    if (stores && !known.isStored && !known.isQueued) {
-        known.isQueued = true;
-        m_unsent.push_back(record);
+    if (stores && !known.isStored && !known.isWriter) {
+        known.isWriter = true;
+        m_unsent.records.push_back(record);
     }
 }
 
@@ -114,7 +120,7 @@
 
 bool stream_versions::isAppendFailing(time_point now) const
 {
-    return m_failing || (!m_sent.empty() && now - m_sentAt >= appendTimeout);
+    return m_failing || (!isEmpty(m_sent) && now - m_sentAt >= appendTimeout);
 }
 
 bool stream_versions::canRecord(time_point now) const
@@ -175,12 +181,14 @@
 
 std::optional<append_stream_records> stream_versions::takeRecords(time_point now)
 {
-    if (!m_sent.empty() || m_unsent.empty() || now < m_retryAt) {
+    const bool isDue = !m_unsent.records.empty() || (!m_unsent.expired.empty() && now >= m_removeAt);
+    if (!isEmpty(m_sent) || !isDue || now < m_retryAt) {
         return std::nullopt;
     }
     m_sent = std::exchange(m_unsent, {});
     m_sentAt = now;
-    return append_stream_records{m_sent};
+    m_removeAt = now + removalInterval;
+    return m_sent;
 }
 
 std::vector<std::uint64_t> stream_versions::on(const stream_records_appended &appended, time_point now)
@@ -188,13 +196,14 @@
     m_failing = !appended.succeeded;
     std::vector<std::uint64_t> stored;
     if (appended.succeeded) {
-        std::transform(m_sent.begin(), m_sent.end(), std::back_inserter(stored), [](const auto &record) { return record.stream; });
-        m_sent.clear();
+        std::transform(m_sent.records.begin(), m_sent.records.end(), std::back_inserter(stored), [](const auto &record) { return record.stream; });
+        m_sent = {};
         markStored(stored);
         return stored;
     }
     // Older records go first: of two records of a stream the last one holds.
-    m_sent.insert(m_sent.end(), m_unsent.begin(), m_unsent.end());
+    m_sent.records.insert(m_sent.records.end(), m_unsent.records.begin(), m_unsent.records.end());
+    m_sent.expired.insert(m_sent.expired.end(), m_unsent.expired.begin(), m_unsent.expired.end());
     m_unsent = std::exchange(m_sent, {});
     m_retryAt = now + appendRetry;
     return stored;
@@ -206,10 +215,13 @@
         m_lacksOlderUntil = now + streamLifetime;
     }
     for (const auto &record : read.streams) {
-        auto &known = m_streams[record.stream];
+        auto &known = m_streams.try_emplace(record.stream, known_stream{record.origin, now}).first->second;
         known.origin = record.origin;
-        known.at = now;
         known.isStored = true;
+        // The VM that has to remove the record has ended.
+        if (read.all && !known.isWriter && now - known.at >= streamLifetime) {
+            m_unsent.expired.push_back(record.stream);
+        }
     }
     if (read.succeeded && read.defaults) {
         m_defaults.clear();
@@ -232,8 +244,8 @@
     for (auto &[stream, known] : m_streams) {
         known.isStored = false;
         if (known.isOwn && now - known.at < streamLifetime) {
-            known.isQueued = true;
-            m_unsent.push_back({stream, known.origin});
+            known.isWriter = true;
+            m_unsent.records.push_back({stream, known.origin});
         }
     }
 }
@@ -300,6 +312,12 @@
 
 void stream_versions::tick(time_point now)
 {
+    for (auto &[stream, known] : m_streams) {
+        if (known.isWriter && known.isStored && now - known.at >= streamLifetime) {
+            known.isWriter = false;
+            m_unsent.expired.push_back(stream);
+        }
+    }
     std::erase_if(m_streams, [&](const auto &item) { return now - item.second.at >= 2 * streamLifetime; });
 }
 
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -78,7 +78,7 @@
     // Returns where a stream without an id began, if all streams of the service that may be taken up began at one version.
     std::optional<stream_origin> findWithoutId(const service_name &service, bool readSucceeded, time_point now) const;
 
-    // Returns the records to append now, if there are any.
+    // Returns the records to append and to remove now, if there are any.
     std::optional<append_stream_records> takeRecords(time_point now);
     // Returns the streams whose records are stored.
     std::vector<std::uint64_t> on(const stream_records_appended &appended, time_point now);
@@ -107,7 +107,7 @@
         stream_origin origin;
         time_point at{};
         bool isOwn = false; // This VM has recorded it, for itself or for another VM.
-        bool isQueued = false; // It is appended until the directory has it.
+        bool isWriter = false; // This VM appends the record until the directory has it, and removes it when nobody takes the stream up any more.
         bool isStored = false; // The directory has the record.
     };
 
@@ -124,8 +124,9 @@
     std::uint64_t m_defaultsEnd = 0; // Position behind the last default that was read.
     std::optional<time_point> m_defaultsAsOf; // Begin of the newest read of the defaults, here or at another VM.
     std::unordered_map<std::uint64_t, known_stream> m_streams; // Recorded streams.
-    std::vector<stream_record> m_unsent;
-    std::vector<stream_record> m_sent; // Records of the open append.
+    append_stream_records m_unsent;
+    append_stream_records m_sent; // The open append.
+    time_point m_removeAt{}; // Records are removed together with others until then.
     time_point m_sentAt{};
     time_point m_retryAt{};
     time_point m_nextDefaultsAt{};
--- a/test/joined_versions.py
+++ b/test/joined_versions.py
@@ -133,7 +133,9 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", required=True)
-    fleet = RelayFleet(parser.parse_args().build)
+    parser.add_argument("--forget", action="store_true", help="the store forgets its history before the VMs are killed")
+    arguments = parser.parse_args()
+    fleet = RelayFleet(arguments.build)
     workers = [start_worker(f"i-{version}-{number}", version, number) for version in ("v1", "v1.1") for number in (1, 2)]
     try:
         wait_for("the store listens", lambda: socket.socket().connect_ex((HOST, fleet.store_port)) == 0, 5.0)
@@ -148,6 +150,8 @@
         streams, threads = [], []
         for pause in (0.5, 1.0):
             send_streams(fleet, 3.0, 15, streams, threads)
+            if arguments.forget:
+                fleet.configure_store(forget=True)
             kill_all(fleet, pause)
             wait_for("all VMs are ready again", lambda: all(fleet.is_ready(name) for name in fleet.relays), 6.0)
         send_streams(fleet, 3.0, 15, streams, threads)
--- a/test/simulated_fleet.hpp
+++ b/test/simulated_fleet.hpp
@@ -530,14 +530,17 @@
         const auto startedAt = m_clock.now();
         callDirectory(
             index,
-            [this, index, startedAt, defaults = command.defaults] {
-                stream_records_read read{.succeeded = true, .age = m_clock.now() - startedAt + milliseconds{2}};
+            [this, index, startedAt, command] {
+                stream_records_read read{.succeeded = true, .all = command.all, .age = m_clock.now() - startedAt + milliseconds{2}};
                 auto &next = vms[index].streamsNext;
+                if (command.all) {
+                    next = directory.streamsKept;
+                }
                 read.lacksOlder = next < directory.streamsKept;
                 next = std::max(next, directory.streamsKept);
                 read.streams.assign(directory.streams.begin() + static_cast<std::ptrdiff_t>(std::min(next, directory.streams.size())), directory.streams.end());
                 next = directory.streams.size();
-                if (defaults) {
+                if (command.defaults) {
                     read.defaults = directory.defaults;
                     read.defaultsEnd = directory.defaults.size();
                 }
--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -328,6 +328,108 @@
     BOOST_TEST(reads[1].streams.size() == 2U);
 }
 
+// Provides the records of streams in the store.
+struct stream_records_fixture : store_fixture {
+    stream_records_fixture()
+        : records(
+            http,
+            options,
+            [this](relay_input message) {
+                if (auto *const read = std::get_if<stream_records_read>(&message)) {
+                    reads.push_back(std::move(*read));
+                } else if (const auto *const appended = std::get_if<stream_records_appended>(&message)) {
+                    appends.push_back(appended->succeeded);
+                }
+            },
+            logger)
+    {
+    }
+
+    void serveGone(const std::string &target, std::uint64_t first)
+    {
+        auto *const connection = requestFor(target);
+        BOOST_REQUIRE(connection != nullptr);
+        answer(*connection, R"({"first":)" + std::to_string(first) + "}", 1, 410);
+    }
+    // Waits for the append and returns the bytes of its records.
+    std::string takeAppend(const std::string &target, int status)
+    {
+        auto *const connection = requestFor(target);
+        BOOST_REQUIRE(connection != nullptr);
+        const auto received = connection->received();
+        const auto body = received.substr(received.find("\r\n\r\n", received.rfind(target)) + 4);
+        answer(*connection, R"({"offset":0,"end":1})", 1, status);
+        return body;
+    }
+
+    std::vector<stream_records_read> reads;
+    std::vector<bool> appends;
+    stream_records records;
+};
+
+std::string newestItem(const std::string &key, const std::string &value)
+{
+    return R"({"key":")" + key + R"(","value":")" + absl::Base64Escape(value) + R"(","offset":1})";
+}
+
+// Guards against streams going on at the default version after the store has forgotten its history: the records of their versions were gone with it.
+BOOST_FIXTURE_TEST_CASE(streamRecordsOutlastALossOfHistory, stream_records_fixture)
+{
+    records.run(read_stream_records{});
+    serveGone("/api/log-read?topic=streams&part=0&from=0", 4);
+    serveIn(1, "/api/log-read?topic=streams&part=0&from=4", logPage(5, 4, encodeKeyedRecord("c", "drafter\nv-3")));
+    serveIn(1, "/api/log-newest?topic=keyed.streams&part=0 ", R"({"items":[)" + newestItem("a", "drafter\nv-2") + R"(],"has_more":true,"end":4})");
+    serveIn(1, "/api/log-newest?topic=keyed.streams&part=0&after=a", R"({"items":[)" + newestItem("b", "drafter\nv-2") + R"(],"has_more":false,"end":4})");
+    BOOST_REQUIRE(runUntil(io, [&] { return !reads.empty(); }));
+    BOOST_TEST(reads[0].succeeded);
+    BOOST_TEST(!reads[0].lacksOlder);
+    BOOST_TEST(reads[0].all);
+    BOOST_REQUIRE(reads[0].streams.size() == 3U);
+    BOOST_TEST(reads[0].streams[0].stream == 0xaU);
+    BOOST_TEST(reads[0].streams[1].stream == 0xbU);
+    BOOST_TEST(reads[0].streams[2].origin.version.value == "v-3");
+    // What is missing has been read, so that the next read takes the new records only.
+    records.run(read_stream_records{});
+    serveIn(1, "/api/log-read?topic=streams&part=0&from=5", logPage(5, 4, ""));
+    BOOST_REQUIRE(runUntil(io, [&] { return reads.size() == 2; }));
+    BOOST_TEST(reads[1].succeeded);
+    BOOST_TEST(!reads[1].all);
+}
+
+// Guards against the same after a read that failed when it had to read the records that the store retains.
+BOOST_FIXTURE_TEST_CASE(missingStreamRecordsAreReadAgainAfterAFailure, stream_records_fixture)
+{
+    records.run(read_stream_records{});
+    serveGone("/api/log-read?topic=streams&part=0&from=0", 4);
+    serveIn(1, "/api/log-read?topic=streams&part=0&from=4", logPage(4, 4, ""));
+    serveIn(1, "/api/log-newest?topic=keyed.streams&part=0", "not a page");
+    BOOST_REQUIRE(runUntil(io, [&] { return !reads.empty(); }));
+    BOOST_TEST(!reads[0].succeeded);
+    records.run(read_stream_records{});
+    serveIn(1, "/api/log-read?topic=streams&part=0&from=4", logPage(4, 4, ""));
+    serveIn(1, "/api/log-newest?topic=keyed.streams&part=0", R"({"items":[)" + newestItem("a", "drafter\nv-2") + R"(],"has_more":false,"end":4})");
+    BOOST_REQUIRE(runUntil(io, [&] { return reads.size() == 2; }));
+    BOOST_TEST(reads[1].succeeded);
+    BOOST_TEST(reads[1].streams.size() == 1U);
+}
+
+// Guards against a record that counts as stored although a loss of history would take it: the store has refused to retain it.
+BOOST_FIXTURE_TEST_CASE(streamRecordsAreStoredWhenBothTopicsHaveThem, stream_records_fixture)
+{
+    const append_stream_records command{.records = {{0xa, {{"drafter"}, {"v-2"}}}}, .expired = {0xb}};
+    const auto record = encodeKeyedRecord("000000000000000a", "drafter\nv-2");
+    records.run(command);
+    BOOST_TEST(takeAppend("/api/log-append?topic=streams&part=0", 200) == record);
+    BOOST_TEST(takeAppend("/api/log-append?topic=keyed.streams&part=0", 503) == record + encodeKeyedRecord("000000000000000b", ""));
+    BOOST_REQUIRE(runUntil(io, [&] { return !appends.empty(); }));
+    BOOST_TEST(!appends[0]);
+    records.run(command);
+    takeAppend("/api/log-append?topic=streams&part=0", 200);
+    takeAppend("/api/log-append?topic=keyed.streams&part=0", 200);
+    BOOST_REQUIRE(runUntil(io, [&] { return appends.size() == 2; }));
+    BOOST_TEST(appends[1]);
+}
+
 // Guards against an order that is given although another VM has written the newest one: an answer that ends early with its connection, or a page that does not
 // hold all orders, lacks it, and states the end behind it.
 BOOST_AUTO_TEST_CASE(ordersAreReadToTheStatedEnd)
--- a/test/stream_versions_test.cpp
+++ b/test/stream_versions_test.cpp
@@ -238,6 +238,47 @@
     BOOST_TEST(versions.defaults(now)->age >= milliseconds{600});
 }
 
+// Guards against records that stay in the directory for good, as nothing expires there.
+BOOST_AUTO_TEST_CASE(recordsAreRemovedWhenTheirStreamsCannotBeTakenUp)
+{
+    announce("dec-1", v1);
+    readDefaults({{llm, v1}});
+    BOOST_TEST(versions.begin(1, {llm, v2}, now));
+    BOOST_TEST(versions.takeRecords(now)->records.size() == 1U);
+    versions.on(stream_records_appended{true}, now);
+    now += stream_versions::streamLifetime - seconds{1};
+    versions.tick(now);
+    BOOST_TEST(!versions.takeRecords(now));
+    now += seconds{1};
+    versions.tick(now);
+    const auto append = versions.takeRecords(now);
+    BOOST_REQUIRE(append.has_value());
+    BOOST_TEST(append->records.empty());
+    BOOST_TEST(append->expired == std::vector<std::uint64_t>{1});
+    // A failed append is repeated.
+    versions.on(stream_records_appended{false}, now);
+    now += seconds{11};
+    BOOST_TEST(versions.takeRecords(now)->expired == std::vector<std::uint64_t>{1});
+    versions.on(stream_records_appended{true}, now);
+    versions.tick(now);
+    BOOST_TEST(!versions.takeRecords(now + seconds{11}));
+}
+
+// Guards against the same where the VM that wrote a record has ended.
+BOOST_AUTO_TEST_CASE(recordsOfEndedVmsAreRemoved)
+{
+    const stream_records_read all{.succeeded = true, .all = true, .streams = {{1, {llm, v2}}}};
+    versions.on(all, now);
+    now += stream_versions::streamLifetime - seconds{1};
+    versions.on(all, now);
+    BOOST_TEST(!versions.takeRecords(now));
+    now += seconds{1};
+    versions.on(all, now);
+    const auto append = versions.takeRecords(now);
+    BOOST_REQUIRE(append.has_value());
+    BOOST_TEST(append->expired == std::vector<std::uint64_t>{1});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(stream_version_bindings, relay_fixture)
