Do not take silence, or a denial by a VM that cannot know, for the begin of a stream at the default version

Cause: after a read that lacks records, or one that fails, a VM asked the hubs for copies and named the default version when they kept none, and also when none had answered within 100 ms. A denial counted if the hub's process had run for as long as the route allows a stream to last. A hub that has just become one, that has stood still or has not heard all VMs, or that belongs to another data centre, has not been sent the records.

A denial counts now for the time for which a VM has been a hub and has heard all others, and one is needed from each data centre with several VMs. Without these the hubs and the directory are asked again for 1.8 s, as callers wait for longer than that, and then the take-up is refused as before. So that callers lose nothing by this, hubs also keep copies of the records of streams at the default while several versions serve; these are not stored, and first events do not wait for them. After a loss they are stored as well. A VM that has started after a restore of the store waits for the hubs' answers, as it cannot know of the loss.

aStreamOfAVersionThatIsGoneIsRefusedAfterALossOfHistory rested on the silence and on young hubs: it waits now until hubs can deny, and expects the same.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -384,7 +384,9 @@
     std::uint64_t receiverIncarnation = 0;
     std::uint64_t number = 0;
     std::optional<stream_origin> origin; // Empty if the VM keeps no record of the stream.
-    duration runningFor{}; // Records that were sent to it before are lost.
+    duration keepsFor{}; // The VM keeps all records that VMs of its data centre have made for this time.
+    data_centre_name dataCentre;
+    std::vector<data_centre_name> shared; // Data centres with several VMs, as far as the VM knows.
 };
 
 // Versions at which streams without a record began.
@@ -592,6 +594,7 @@
 struct stream_records_read {
     bool succeeded = false; // All records that the directory had when the read began are known.
     bool lacksOlder = false; // The directory has lost records that it had acknowledged.
+    bool restored = false; // The directory has come back from a copy, which may have been before this VM started.
     bool all = false; // The records are all that the directory retains.
     std::vector<stream_record> streams; // Records since the read before, oldest first.
     std::optional<std::vector<stream_origin>> defaults; // Default versions, if they were to be read.
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -434,10 +434,12 @@
     stream_origin_answer answer{.from = {{in.at(1).get<std::string>()}, wholeNumber<std::uint64_t>(in.at(2))},
                                 .receiverIncarnation = wholeNumber<std::uint64_t>(in.at(3)),
                                 .number = wholeNumber<std::uint64_t>(in.at(4)),
-                                .runningFor = milliseconds{wholeNumber<std::uint32_t>(in.at(5))}};
+                                .keepsFor = milliseconds{wholeNumber<std::uint32_t>(in.at(5))}};
     if (const auto &origin = in.at(6); !origin.empty()) {
         answer.origin = stream_origin{{origin.at(0).get<std::string>()}, {origin.at(1).get<std::string>()}};
     }
+    answer.dataCentre = {in.at(7).get<std::string>()};
+    answer.shared = decodeList<data_centre_name>(in.at(8), [](const json &name) { return data_centre_name{name.get<std::string>()}; });
     return answer;
 }
 
@@ -608,7 +610,15 @@
 std::string encodeOriginAnswer(const stream_origin_answer &answer)
 {
     const auto origin = answer.origin ? json{answer.origin->service.value, answer.origin->version.value} : json::array();
-    const json out{format, answer.from.vm.value, answer.from.number, answer.receiverIncarnation, answer.number, toMilliseconds(answer.runningFor), origin};
+    const json out{format,
+                   answer.from.vm.value,
+                   answer.from.number,
+                   answer.receiverIncarnation,
+                   answer.number,
+                   toMilliseconds(answer.keepsFor),
+                   origin,
+                   answer.dataCentre.value,
+                   encodeList(answer.shared, [](const auto &dataCentre) { return json(dataCentre.value); })};
     return originAnswerKind + toBytes(out);
 }
 
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -13,6 +13,8 @@
 constexpr auto noticeInterval = std::chrono::milliseconds{450};
 // Every third summary to the followers has the loads and the candidates, which they need only when they lose the hub.
 constexpr int loadsInterval = 3;
+// After a longer standstill of a hub, its next summary may come so late that other VMs have taken another hub in its place.
+constexpr auto maxStandstill = std::chrono::milliseconds{400};
 constexpr std::size_t maxSentHeartbeats = 128; // Heartbeats that a hub may still acknowledge.
 constexpr std::size_t maxSentTotals = 64; // Totals that a hub of another data centre may still acknowledge.
 // A hub that has not acknowledged a heartbeat for this time does not hear this VM. Hubs send a summary every 150 ms.
@@ -275,7 +277,14 @@
     m_members.tick(now);
     expireSources(now);
     const auto selection = m_members.select(m_members.self().dataCentre, now);
+    const bool wasHub = m_isHub;
     setRole(selection, now);
+    const bool stoodStill = m_exchangedAt && now - *m_exchangedAt >= maxStandstill;
+    const bool lacksVms = heard(now) < members(now); // A VM that is not heard may send its records to another hub.
+    if (!wasHub || stoodStill || lacksVms) {
+        m_reachedSince = now;
+    }
+    m_exchangedAt = now;
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + fleetMessageInterval;
         sendHeartbeats(report, selection, now, out);
@@ -575,6 +584,18 @@
     return out;
 }
 
+std::vector<data_centre_name> fleet_view::sharedDataCentres(time_point now) const
+{
+    std::vector<data_centre_name> out;
+    for (const auto &dataCentre : m_members.dataCentres()) {
+        const std::size_t self = dataCentre == m_members.self().dataCentre ? 1 : 0;
+        if (self + countKnown(dataCentre, now) > 1) {
+            out.push_back(dataCentre);
+        }
+    }
+    return out;
+}
+
 std::size_t fleet_view::heard(time_point now) const
 {
     const auto &ownDataCentre = m_members.self().dataCentre;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -104,6 +104,10 @@
     // Returns the other hubs that this VM hears, those of its own data centre first. Only hubs hear those of other data centres.
     std::vector<fleet_member> liveHubs(time_point now) const;
     bool isHub() const { return m_isHub; }
+    // Returns the time for which this VM has been a hub and has heard all others, so that it has got all that they send to hubs.
+    duration reachedFor(time_point now) const { return m_isHub ? now - m_reachedSince : duration{}; }
+    // Returns the data centres in which several VMs may be running.
+    std::vector<data_centre_name> sharedDataCentres(time_point now) const;
     // Returns whether a hub of this data centre, this VM included, is known.
     bool hasHub(time_point now) const;
     // Returns the hub whose totals are used, or an empty name.
@@ -208,6 +212,8 @@
     bool m_knowsFleet = false; // Another VM was heard, or the directory has listed the VMs.
     bool m_heardByHub = false; // The followed hub acknowledges the heartbeats of this VM.
     std::optional<time_point> m_hubSince;
+    time_point m_reachedSince{}; // As a hub.
+    std::optional<time_point> m_exchangedAt;
     time_point m_nextNotice{};
 };
 
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -693,7 +693,7 @@
 void relay_requests::scheduleWakeup(relay_entry &entry)
 {
     auto wakeupTime = entry.deadline;
-    if (entry.machine.stage() == relay_stage::Waiting && !entry.waitsForProof()) {
+    if (entry.machine.stage() == relay_stage::Waiting && !entry.waitsForProof() && !entry.lookup) {
         wakeupTime = std::min(wakeupTime, waitEndsAt(entry));
     }
     if (entry.attempt && entry.attempt->failoverAt) {
--- a/src/relay_requests.hpp
+++ b/src/relay_requests.hpp
@@ -1,6 +1,7 @@
 // Requests that a relay VM holds, from their arrival to their final answer.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -120,8 +121,13 @@
 struct version_lookup {
     std::uint64_t ask = 0; // Number of the ask to other VMs.
     std::optional<time_point> answersUntil; // Set while answers of other VMs are awaited.
-    bool isDenied = false; // A VM that runs for long enough keeps no record of the stream.
+    time_point asksUntil{}; // Other VMs and the directory are asked again until then.
+    std::set<data_centre_name> deniedBy; // Data centres of which a hub that would keep a record of the stream keeps none.
+    std::optional<std::set<data_centre_name>> shared; // Data centres with several VMs, which keep each other's records. Unknown without an answer.
     std::optional<bool> readSucceeded; // Set when the read of the directory has ended.
+
+    // Returns whether the VMs that would keep a record of the stream keep none.
+    bool isDenied() const { return !deniedBy.empty() && shared && std::includes(deniedBy.begin(), deniedBy.end(), shared->begin(), shared->end()); }
 };
 
 struct relay_entry {
@@ -318,6 +324,8 @@
     void askOrigin(relay_entry &entry, std::uint64_t stream);
     void onAnswersDue(relay_entry &entry);
     void decideVersion(relay_entry &entry);
+    // Looks once more where the stream began, as neither the directory nor other VMs have told.
+    void lookUpAgain(relay_entry &entry);
     void onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin, version_source source);
     void sendCopies(const stream_record &record, time_point now);
     bool isSafelyRecorded(const relay_entry &entry) const;
--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -14,7 +14,8 @@
 constexpr duration holdTime = milliseconds{1000};
 constexpr duration holdCheckInterval = milliseconds{100};
 constexpr std::size_t copiesPerRecord = 2; // Beside the record in the directory.
-constexpr duration originAnswerTime = milliseconds{100}; // Other VMs answer within some milliseconds.
+constexpr duration originAnswerTime = milliseconds{100}; // Other VMs answer within some milliseconds. Those that do not are asked again.
+constexpr duration lookupTime = milliseconds{1800}; // Callers give a stream up after a gap of two seconds or more.
 constexpr duration unknownVersionRetry = milliseconds{300}; // The directory may answer again by then.
 constexpr duration defaultsReadInterval = std::chrono::seconds{1};
 
@@ -39,9 +40,12 @@
     }
     const auto stream = streamKeyOf(entry.request.payload->id);
     const stream_origin origin{entry.service, attempt.version};
-    if (m_components.versions.begin(stream, origin, now)) {
-        m_keepers.add({stream, origin}, now);
+    const auto need = m_components.versions.begin(stream, origin, now);
+    if (need != record_need::None) {
         sendCopies({stream, origin}, now);
+    }
+    if (need == record_need::Record) {
+        m_keepers.add({stream, origin}, now);
         entry.heldSince = now;
         entry.heldUntil = now + holdCheckInterval;
         m_held.emplace(stream, entry.request.caller);
@@ -210,8 +214,9 @@
         return;
     }
     m_lookups.push_back(entry.request.caller);
-    entry.lookup.emplace();
+    entry.lookup = version_lookup{.ask = ++m_lastOriginAsk, .asksUntil = m_components.clock.now() + lookupTime};
     if (!entry.request.resumes.empty()) {
+        m_originAsks.emplace(entry.lookup->ask, entry.request.caller);
         askOrigin(entry, stream);
     }
     scheduleWakeup(entry);
@@ -222,19 +227,21 @@
 {
     const auto now = m_components.clock.now();
     const auto &fleet = m_components.fleet;
-    const auto hubs = fleet.liveHubs(now);
-    if (hubs.empty()) {
-        return;
+    auto &lookup = *entry.lookup;
+    lookup.answersUntil = now + originAnswerTime;
+    if (fleet.isHub()) {
+        const auto shared = fleet.sharedDataCentres(now);
+        lookup.shared = std::set(shared.begin(), shared.end());
+        if (fleet.reachedFor(now) >= entry.route->timeout) {
+            lookup.deniedBy.insert(m_components.settings.dataCentre);
+        }
     }
-    entry.lookup->ask = ++m_lastOriginAsk;
-    entry.lookup->answersUntil = now + originAnswerTime;
-    m_originAsks.emplace(entry.lookup->ask, entry.request.caller);
-    for (const auto &hub : hubs) {
+    for (const auto &hub : fleet.liveHubs(now)) {
         ++m_components.metrics.originAsks;
         m_components.commands.push_back(send_origin_ask{hub.address,
                                                         {.from = m_components.settings.self,
                                                          .address = m_components.settings.peerAddress,
-                                                         .number = entry.lookup->ask,
+                                                         .number = lookup.ask,
                                                          .stream = stream,
                                                          .isForHubs = !fleet.isHub()}});
     }
@@ -249,7 +256,9 @@
                                                         .receiverIncarnation = ask.from.number,
                                                         .number = ask.number,
                                                         .origin = versions.findKnown(ask.stream),
-                                                        .runningFor = versions.runningFor(now)}});
+                                                        .keepsFor = m_components.fleet.reachedFor(now),
+                                                        .dataCentre = m_components.settings.dataCentre,
+                                                        .shared = m_components.fleet.sharedDataCentres(now)}});
     if (!ask.isForHubs || !m_components.fleet.isHub()) {
         return;
     }
@@ -274,8 +283,17 @@
         onVersionFound(entry, answer.origin, version_source::OtherVm);
         return;
     }
+    auto &lookup = *entry.lookup;
+    if (answer.dataCentre == m_components.settings.dataCentre && !m_components.fleet.isHub()) {
+        if (!lookup.shared) {
+            lookup.shared.emplace();
+        }
+        lookup.shared->insert(answer.shared.begin(), answer.shared.end());
+    }
     // Nobody takes a stream up that began longer ago than its route allows.
-    entry.lookup->isDenied = entry.lookup->isDenied || answer.runningFor >= entry.route->timeout;
+    if (answer.keepsFor >= entry.route->timeout) {
+        lookup.deniedBy.insert(answer.dataCentre);
+    }
 }
 
 void relay_requests::onAnswersDue(relay_entry &entry)
@@ -301,18 +319,15 @@
         return;
     }
     const bool readSucceeded = lookup.readSucceeded.value_or(false);
-    const bool isAwaited = lookup.answersUntil.has_value() && !(readSucceeded && versions.isComplete(now));
-    if (isAwaited) {
+    const bool isAwaited = lookup.answersUntil.has_value();
+    if (readSucceeded && versions.isComplete(entry.route->timeout, now) && !(isAwaited && versions.mayHaveLostBefore(entry.route->timeout, now))) {
+        onVersionFound(entry, versions.find(stream, entry.service, true, now), version_source::Default);
         return;
     }
-    if (readSucceeded) {
-        const auto source = versions.isComplete(now) ? version_source::Default
-                            : lookup.isDenied        ? version_source::DefaultOfVms
-                                                     : version_source::DefaultUnanswered;
-        onVersionFound(entry, versions.find(stream, entry.service, true, now), source);
+    if (isAwaited) {
         return;
     }
-    if (const auto origin = lookup.isDenied ? versions.find(stream, entry.service, true, now) : std::nullopt) {
+    if (const auto origin = lookup.isDenied() ? versions.find(stream, entry.service, true, now) : std::nullopt) {
         onVersionFound(entry, origin, version_source::DefaultOfVms);
         return;
     }
@@ -320,8 +335,21 @@
         return;
     }
     // Versions may have joined that a VM does not know which neither reads the directory nor hears all others.
-    const bool mayLackVersions = m_components.fleet.heard(now) < m_components.fleet.members(now);
-    onVersionFound(entry, mayLackVersions ? std::nullopt : versions.find(stream, entry.service, false, now), version_source::OnlyVersion);
+    const bool mayLackVersions = !readSucceeded && m_components.fleet.heard(now) < m_components.fleet.members(now);
+    const auto origin = mayLackVersions ? std::nullopt : versions.find(stream, entry.service, false, now);
+    if (!origin && now < lookup.asksUntil) {
+        lookUpAgain(entry);
+        return;
+    }
+    onVersionFound(entry, origin, version_source::OnlyVersion);
+}
+
+void relay_requests::lookUpAgain(relay_entry &entry)
+{
+    entry.lookup->readSucceeded.reset();
+    m_lookups.push_back(entry.request.caller);
+    askOrigin(entry, streamKeyOf(entry.request.resumes));
+    scheduleWakeup(entry);
 }
 
 void relay_requests::onVersionFound(relay_entry &entry, const std::optional<stream_origin> &origin, version_source source)
--- a/src/stream_versions.cpp
+++ b/src/stream_versions.cpp
@@ -75,16 +75,21 @@
     return it == m_defaults.end() ? std::nullopt : std::optional(it->second);
 }
 
-bool stream_versions::begin(std::uint64_t stream, const stream_origin &origin, time_point now)
+record_need stream_versions::begin(std::uint64_t stream, const stream_origin &origin, time_point now)
 {
     const auto service = m_services.find(origin.service);
     const bool isDefault = service != m_services.end() && isCertain(origin.service, service->second) && m_defaults.at(origin.service) == origin.version;
-    if (isDefault && !m_streams.contains(stream)) {
-        return false;
+    const bool isExpected = isDefault && !m_streams.contains(stream);
+    const bool mayBeOther = !isExpected || onlyVersion(service->second, now) != origin.version;
+    // After a loss, the lack of a record does not tell the default.
+    const bool isStoredToo = !isExpected || !isComplete(streamLifetime, now);
+    if (mayBeOther || isStoredToo) {
+        m_streams[stream] = {.origin = origin, .at = now, .isOwn = true, .isWriter = isStoredToo};
     }
-    m_streams[stream] = {origin, now, true, true};
-    m_unsent.records.push_back({stream, origin});
-    return true;
+    if (isStoredToo) {
+        m_unsent.records.push_back({stream, origin});
+    }
+    return !isExpected ? record_need::Record : mayBeOther ? record_need::Copies : record_need::None;
 }
 
 void stream_versions::keep(const stream_record &record, bool stores, time_point now)
@@ -211,8 +216,9 @@
 
 void stream_versions::on(const stream_records_read &read, time_point now)
 {
+    m_wasRestored = m_wasRestored || read.restored;
     if (read.lacksOlder) {
-        m_lacksOlderUntil = now + streamLifetime;
+        m_lostAt = now;
     }
     for (const auto &record : read.streams) {
         auto &known = m_streams.try_emplace(record.stream, known_stream{record.origin, now}).first->second;
@@ -236,6 +242,7 @@
 
 void stream_versions::onLost(time_point now)
 {
+    m_lostAt = now;
     for (const auto &[service, version] : m_defaults) {
         m_lostDefaults[service] = version;
     }
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -25,13 +25,19 @@
     OtherVm, // Another VM keeps its record.
     Default, // A read that lacks nothing has shown no record of it.
     DefaultOfVms, // The directory lacks records or could not be read, and other VMs keep no record of it.
-    DefaultUnanswered, // The directory lacks records, and no other VM has told whether it keeps one.
     OnlyVersion, // The directory could not be read, and no other version has served.
 };
 
+// What VMs need to know of a stream that begins.
+enum class record_need : std::uint8_t {
+    None, // It began at the default version, and no other one has served.
+    Copies, // It began at the default version. Copies of its record prove that where the directory cannot.
+    Record, // Its first event has to wait for its record.
+};
+
 constexpr std::string_view nameOf(version_source value)
 {
-    constexpr std::string_view names[]{"memory", "record", "other_vm", "default", "default_of_vms", "default_unanswered", "only_version"};
+    constexpr std::string_view names[]{"memory", "record", "other_vm", "default", "default_of_vms", "only_version"};
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -51,8 +57,8 @@
     // Takes over the versions of the endpoints. Services whose streams cannot be taken up have none.
     void onEndpoints(const route_table &routes, const endpoint_directory &endpoints, time_point now);
 
-    // Records the begin of a stream. Returns whether it needs a record, for which its first event has to wait.
-    bool begin(std::uint64_t stream, const stream_origin &origin, time_point now);
+    // Records the begin of a stream.
+    record_need begin(std::uint64_t stream, const stream_origin &origin, time_point now);
     // Keeps a record of another VM, and stores it as well if that is wanted.
     void keep(const stream_record &record, bool stores, time_point now);
     // Another VM has stored records of this one.
@@ -66,9 +72,11 @@
     // Returns the version at which streams need no record, if this VM knows one.
     std::optional<software_version> defaultVersion(const service_name &service) const;
 
-    // Returns whether the lack of a record after a read tells that a stream began at the default version.
-    bool isComplete(time_point now) const { return !m_lacksOlderUntil || now >= *m_lacksOlderUntil; }
-    duration runningFor(time_point now) const { return now - m_startedAt; }
+    // Returns whether the lack of a record after a read tells that a stream of at most the given age began at the default version.
+    bool isComplete(duration age, time_point now) const { return !m_lostAt || now - *m_lostAt >= age; }
+
+    // Returns whether the directory may have lost records of streams of at most the given age before this VM started, which it cannot tell.
+    bool mayHaveLostBefore(duration age, time_point now) const { return m_wasRestored && now - m_startedAt < age; }
 
     // Returns where a stream began if no read of the directory is needed to tell.
     std::optional<stream_origin> findKnown(std::uint64_t stream) const;
@@ -131,7 +139,8 @@
     time_point m_retryAt{};
     time_point m_nextDefaultsAt{};
     bool m_failing = false;
-    std::optional<time_point> m_lacksOlderUntil; // Until then, streams may be taken up whose records the directory has lost.
+    bool m_wasRestored = false; // The directory has come back from a copy at some time.
+    std::optional<time_point> m_lostAt; // The directory has lost records that it had acknowledged before.
     std::optional<time_point> m_storedElsewhereAt; // Time at which another VM last told that it has stored records of this one.
 };
 
--- a/test/joined_stream_versions_test.cpp
+++ b/test/joined_stream_versions_test.cpp
@@ -263,6 +263,131 @@
     playLossOfHistory(59, 5);
 }
 
+// Plays losses of records while a VM that is no hub, which gets half of the streams, is killed. The hubs of its data centre are in trouble meanwhile.
+struct hub_trouble_play : version_play {
+    hub_trouble_play(int vmsPerDataCentre, int dataCentres)
+        : version_play(vmsPerDataCentre, dataCentres)
+    {
+        eventPause = milliseconds{200};
+        start();
+        load(seconds{15}, 20);
+        chooseVms();
+    }
+    // Chooses the hubs of the first data centre, and a VM there that is none.
+    void chooseVms()
+    {
+        hubs.clear();
+        for (std::size_t i = 0; i < fleet.vms.size(); ++i) {
+            const bool isFirst = fleet.vms[i].info.dataCentre.value == "dc-0";
+            if (isFirst && fleet.isHub(i)) {
+                hubs.push_back(i);
+            } else if (isFirst) {
+                busyVm = i;
+            }
+        }
+        BOOST_REQUIRE(hubs.size() == 2U);
+        BOOST_REQUIRE(busyVm.has_value());
+    }
+    void freezeHubs(bool frozen)
+    {
+        for (const auto hub : hubs) {
+            fleet.vms[hub].frozen = frozen;
+        }
+    }
+    void finishPlay()
+    {
+        load(seconds{4}, 40);
+        fleet.runFor(seconds{12});
+        check();
+        for (const auto &[reason, count] : failures) {
+            BOOST_TEST_MESSAGE(nameOf(reason) << ' ' << count);
+        }
+        BOOST_TEST_MESSAGE(whole() << " of " << streams.size() << " streams are whole, " << failures[failure::StreamVersionUnknown]
+                                   << " tries were refused as the version was not known");
+    }
+
+    std::vector<std::size_t> hubs;
+};
+
+// Guards against the silence of hubs being taken for the default version: they stand still when streams are taken up whose records the directory has lost.
+void playSilentHubs(int vmsPerDataCentre, int dataCentres, duration silence)
+{
+    hub_trouble_play play(vmsPerDataCentre, dataCentres);
+    play.load(seconds{3}, 40);
+    play.fleet.forgetStreams();
+    play.load(milliseconds{500}, 40);
+    play.freezeHubs(true);
+    play.killOne(*play.busyVm, milliseconds{500});
+    play.load(silence, 40);
+    play.freezeHubs(false);
+    play.finishPlay();
+}
+
+BOOST_AUTO_TEST_CASE(theHubsAreSilentAfterALossOfRecords)
+{
+    playSilentHubs(5, 1, milliseconds{700});
+    playSilentHubs(5, 1, milliseconds{3000});
+}
+
+// Guards against the same where hubs of another data centre answer: they have not been sent the records.
+BOOST_AUTO_TEST_CASE(theHubsOfOneDataCentreAreSilentAfterALossOfRecords)
+{
+    playSilentHubs(5, 2, milliseconds{700});
+    playSilentHubs(20, 3, milliseconds{3000});
+}
+
+// Guards against the same where the hubs of a data centre have ended.
+BOOST_AUTO_TEST_CASE(theHubsAreKilledAfterALossOfRecords)
+{
+    hub_trouble_play play(5, 1);
+    play.load(seconds{3}, 40);
+    play.fleet.forgetStreams();
+    play.load(milliseconds{300}, 40);
+    for (const auto hub : play.hubs) {
+        play.killOne(hub, milliseconds{200});
+    }
+    play.killOne(*play.busyVm, milliseconds{500});
+    play.load(seconds{4}, 40);
+    play.fleet.runFor(seconds{12});
+    // No VM knows where these streams began. In touch, a loss of acknowledged records does not occur.
+    BOOST_TEST(play.joined() <= joinedAllowed, play.joined() << " of " << play.streams.size() << " streams hold events of two versions");
+    BOOST_TEST(play.failures[failure::StreamVersionUnknown] > 0);
+}
+
+// Guards against denials of a hub that has not been sent the records, as it has just started or stood still.
+BOOST_AUTO_TEST_CASE(aNewHubDeniesLostRecords)
+{
+    hub_trouble_play play(5, 1);
+    play.load(seconds{3}, 40);
+    play.fleet.forgetStreams();
+    play.killOne(play.hubs.front(), milliseconds{100});
+    play.load(milliseconds{1300}, 40);
+    play.fleet.vms[play.hubs.back()].frozen = true;
+    play.killOne(*play.busyVm, milliseconds{500});
+    play.load(milliseconds{1000}, 40);
+    play.fleet.vms[play.hubs.back()].frozen = false;
+    play.finishPlay();
+}
+
+BOOST_AUTO_TEST_CASE(aHubThatStoodStillDeniesLostRecords)
+{
+    hub_trouble_play play(5, 1);
+    play.fleet.vms[play.hubs.front()].frozen = true;
+    play.load(seconds{3}, 40);
+    play.fleet.vms[play.hubs.front()].frozen = false;
+    play.fleet.forgetStreams();
+    play.load(milliseconds{100}, 40);
+    for (std::size_t i = 0; i < play.fleet.vms.size(); ++i) {
+        play.fleet.vms[i].frozen = i != play.hubs.front() && i != *play.busyVm && play.fleet.isHub(i);
+    }
+    play.killOne(*play.busyVm, milliseconds{500});
+    play.load(milliseconds{700}, 40);
+    for (auto &vm : play.fleet.vms) {
+        vm.frozen = false;
+    }
+    play.finishPlay();
+}
+
 // Guards against refusals of streams that are taken up while the directory cannot be read, although other VMs know where they began.
 BOOST_AUTO_TEST_CASE(streamsAreTakenUpWhileTheDirectoryIsDown)
 {
@@ -340,7 +465,7 @@
     play.load(seconds{3}, 20);
     play.leave(1);
     play.leave(2);
-    play.fleet.runFor(seconds{3});
+    play.fleet.runFor(seconds{15}); // Hubs can deny the record when they have run for as long as the route allows.
     play.fleet.forgetStreams();
     for (std::size_t vm = 0; vm < play.fleet.vms.size(); ++vm) {
         play.fleet.submitStream(vm, "/resume/1", "id-of-a-stream-without-a-record", 3);
--- a/test/record_keepers_test.cpp
+++ b/test/record_keepers_test.cpp
@@ -141,11 +141,18 @@
     BOOST_REQUIRE(question.ok());
     BOOST_TEST((std::get<stream_origin_ask>(*question).stream == 7U && !std::get<stream_origin_ask>(*question).isForHubs));
     for (const auto &known : {std::optional<stream_origin>{}, std::optional(origin)}) {
-        const auto answer = decodeFleetMessage(
-            encodeOriginAnswer({.from = {{"vm-2"}, 1}, .receiverIncarnation = 5, .number = 4, .origin = known, .runningFor = std::chrono::hours{2}}));
+        const auto answer = decodeFleetMessage(encodeOriginAnswer({.from = {{"vm-2"}, 1},
+                                                                   .receiverIncarnation = 5,
+                                                                   .number = 4,
+                                                                   .origin = known,
+                                                                   .keepsFor = std::chrono::hours{2},
+                                                                   .dataCentre = {"dc-a"},
+                                                                   .shared = {{"dc-a"}, {"dc-b"}}}));
         BOOST_REQUIRE(answer.ok());
         BOOST_TEST((std::get<stream_origin_answer>(*answer).origin == known));
-        BOOST_TEST((std::get<stream_origin_answer>(*answer).runningFor == std::chrono::hours{2}));
+        BOOST_TEST((std::get<stream_origin_answer>(*answer).keepsFor == std::chrono::hours{2}));
+        BOOST_TEST(std::get<stream_origin_answer>(*answer).dataCentre.value == "dc-a");
+        BOOST_TEST(std::get<stream_origin_answer>(*answer).shared.size() == 2U);
     }
     auto withoutAddress = ask;
     withoutAddress.address = "somewhere";
--- a/test/stream_versions_test.cpp
+++ b/test/stream_versions_test.cpp
@@ -54,19 +54,19 @@
 {
     announce("dec-1", v1);
     BOOST_TEST(versions.isUncertain());
-    BOOST_TEST(versions.begin(1, {llm, v1}, now)); // The default is not known.
+    BOOST_TEST((versions.begin(1, {llm, v1}, now) == record_need::Record)); // The default is not known.
     readDefaults({{llm, v1}});
     BOOST_TEST(!versions.isUncertain());
-    BOOST_TEST(!versions.begin(2, {llm, v1}, now));
+    BOOST_TEST((versions.begin(2, {llm, v1}, now) != record_need::Record));
     BOOST_TEST((versions.find(2, llm, true, now) == stream_origin{llm, v1}));
     now += seconds{1};
     announce("dec-2", v2);
     // The default may have changed before the second version appeared.
-    BOOST_TEST(versions.begin(3, {llm, v1}, now));
+    BOOST_TEST((versions.begin(3, {llm, v1}, now) == record_need::Record));
     now += seconds{1};
     readDefaults({{llm, v1}});
-    BOOST_TEST(!versions.begin(4, {llm, v1}, now));
-    BOOST_TEST(versions.begin(5, {llm, v2}, now));
+    BOOST_TEST((versions.begin(4, {llm, v1}, now) != record_need::Record));
+    BOOST_TEST((versions.begin(5, {llm, v2}, now) == record_need::Record));
     BOOST_TEST((versions.find(5, llm, true, now) == stream_origin{llm, v2}));
 }
 
@@ -102,7 +102,7 @@
     announce("dec-1", v1);
     announce("dec-2", v2);
     readDefaults({{llm, v1}});
-    BOOST_TEST(versions.begin(1, {llm, v2}, now));
+    BOOST_TEST((versions.begin(1, {llm, v2}, now) == record_need::Record));
     const auto first = versions.takeRecords(now);
     BOOST_REQUIRE(first.has_value());
     BOOST_TEST(first->records.size() == 1U);
@@ -110,7 +110,7 @@
     BOOST_TEST(!versions.takeRecords(now).has_value()); // One append at a time.
     BOOST_TEST(versions.on(stream_records_appended{false}, now).empty());
     BOOST_TEST(!versions.canRecord(now));
-    BOOST_TEST(versions.begin(3, {llm, v2}, now)); // Its events wait until the record is stored or other VMs keep it.
+    BOOST_TEST((versions.begin(3, {llm, v2}, now) == record_need::Record)); // Its events wait until the record is stored or other VMs keep it.
     BOOST_TEST(!versions.isStored(1));
     now += seconds{1};
     const auto second = versions.takeRecords(now);
@@ -130,7 +130,7 @@
     versions.begin(1, {llm, v2}, now);
     BOOST_REQUIRE(versions.takeRecords(now).has_value());
     now += milliseconds{100};
-    BOOST_TEST(versions.begin(2, {llm, v2}, now));
+    BOOST_TEST((versions.begin(2, {llm, v2}, now) == record_need::Record));
     BOOST_TEST(versions.canRecord(now));
     now += milliseconds{400};
     BOOST_TEST(versions.isAppendFailing(now));
@@ -170,11 +170,11 @@
 // Guards against the lack of a record counting as a begin at the default version while the directory has lost records.
 BOOST_AUTO_TEST_CASE(aReadThatLacksOlderRecordsIsNotComplete)
 {
-    BOOST_TEST(versions.isComplete(now));
+    BOOST_TEST(versions.isComplete(stream_versions::streamLifetime, now));
     versions.on(stream_records_read{.succeeded = true, .lacksOlder = true}, now);
-    BOOST_TEST(!versions.isComplete(now));
+    BOOST_TEST(!versions.isComplete(stream_versions::streamLifetime, now));
     now += stream_versions::streamLifetime;
-    BOOST_TEST(versions.isComplete(now));
+    BOOST_TEST(versions.isComplete(stream_versions::streamLifetime, now));
 }
 
 BOOST_AUTO_TEST_CASE(theDefaultChangesOnlyWhenNoOtherVersionHasServedForALifetime)
@@ -228,10 +228,10 @@
     versions.onDefaults({{{llm, v1}}, seconds{20}}, now);
     BOOST_TEST(versions.isUncertain()); // Older than what this VM knows of the endpoints.
     versions.onDefaults({{{llm, v1}}, milliseconds{100}}, now);
-    BOOST_TEST(versions.begin(1, {llm, v1}, now)); // The second version appeared after this.
+    BOOST_TEST((versions.begin(1, {llm, v1}, now) == record_need::Record)); // The second version appeared after this.
     now += seconds{2};
     versions.onDefaults({{{llm, v1}}, milliseconds{100}}, now);
-    BOOST_TEST(!versions.begin(2, {llm, v1}, now));
+    BOOST_TEST((versions.begin(2, {llm, v1}, now) != record_need::Record));
     versions.onDefaults({{{llm, v2}}, seconds{1}}, now);
     BOOST_TEST((versions.defaultVersion(llm) == v1));
     BOOST_REQUIRE(versions.defaults(now).has_value());
@@ -243,7 +243,7 @@
 {
     announce("dec-1", v1);
     readDefaults({{llm, v1}});
-    BOOST_TEST(versions.begin(1, {llm, v2}, now));
+    BOOST_TEST((versions.begin(1, {llm, v2}, now) == record_need::Record));
     BOOST_TEST(versions.takeRecords(now)->records.size() == 1U);
     versions.on(stream_records_appended{true}, now);
     now += stream_versions::streamLifetime - seconds{1};
@@ -279,6 +279,27 @@
     BOOST_TEST(append->expired == std::vector<std::uint64_t>{1});
 }
 
+// Guards against refusals of streams at the default version that break off while the directory cannot be read and no hub can deny a record: nothing but the
+// lack of a record showed where they had begun.
+BOOST_AUTO_TEST_CASE(streamsAtTheDefaultVersionHaveCopiesBesideAnotherVersion)
+{
+    announce("dec-1", v1);
+    readDefaults({{llm, v1}});
+    BOOST_TEST((versions.begin(1, {llm, v1}, now) == record_need::None));
+    announce("dec-2", v2);
+    readDefaults({{llm, v1}});
+    BOOST_TEST((versions.begin(2, {llm, v1}, now) == record_need::Copies));
+    BOOST_TEST((versions.findKnown(2) == stream_origin{llm, v1}));
+    BOOST_TEST(!versions.takeRecords(now)); // The directory has no record of a stream at the default version.
+    // After a loss, the lack of a record does not tell the default.
+    versions.onLost(now);
+    BOOST_TEST(versions.takeRecords(now)->records.size() == 1U);
+    versions.on(stream_records_appended{true}, now);
+    readDefaults({{llm, v1}});
+    BOOST_TEST((versions.begin(3, {llm, v1}, now) == record_need::Copies));
+    BOOST_TEST(versions.takeRecords(now)->records.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(stream_version_bindings, relay_fixture)
--- a/test/version_play.hpp
+++ b/test/version_play.hpp
@@ -135,6 +135,10 @@
     void send(std::size_t number)
     {
         auto &each = streams[number];
+        if (std::none_of(fleet.vms.begin(), fleet.vms.end(), [](const auto &vm) { return vm.core != nullptr; })) {
+            fleet.schedule(milliseconds{100}, [this, number] { send(number); });
+            return;
+        }
         if (++each.tries > maxTries) {
             return;
         }
