Let orders wait for a lease when the store has forgotten the last one

Orders of two VMs within the lease can contradict each other (ONE).

A read that finds orders deleted makes the log count as intact from then on, as after a restore, so that the next order waits for the lease.

Test: store_reading/ordersThatAreForgottenMayBeNew.

--- a/test/store_reader_test.cpp
+++ b/test/store_reader_test.cpp
@@ -454,4 +454,30 @@
     BOOST_TEST(orderReads[2].lastHolder->value == "vm-2");
 }
 
+// Guards against an order within the lease of another VM whose order the store has forgotten: the lack of its record counted as a lack of a holder.
+BOOST_AUTO_TEST_CASE(ordersThatAreForgottenMayBeNew)
+{
+    reader.run(read_order_log{});
+    serveIn(1, "/api/log-read?topic=orders", logPage(0, 0, "")); // Tells the era.
+    BOOST_REQUIRE(runUntil(io, [&] { return orderReads.size() == 1; }));
+    reader.run(read_order_log{});
+    serveIn(1, "/api/log-read?topic=orders&part=0&from=0", logPage(1, 0, encodeKeyedRecord("vm-2", "w-1 prefill")));
+    BOOST_REQUIRE(runUntil(io, [&] { return orderReads.size() == 2; }));
+    BOOST_TEST(orderReads[1].lastHolder.has_value());
+    runUntil(
+        io, [] { return false; }, std::chrono::milliseconds{50});
+    const auto forgottenAt = std::chrono::steady_clock::now();
+    reader.run(read_order_log{});
+    auto *const connection = requestFor("/api/log-read?topic=orders&part=0&from=1");
+    BOOST_REQUIRE(connection != nullptr);
+    answer(*connection, R"({"first":3})", 1, 410);
+    BOOST_REQUIRE(runUntil(io, [&] { return orderReads.size() == 3; }));
+    reader.run(read_order_log{});
+    serveIn(1, "/api/log-read?topic=orders&part=0&from=3", logPage(3, 3, ""));
+    BOOST_REQUIRE(runUntil(io, [&] { return orderReads.size() == 4; }));
+    BOOST_TEST(orderReads[3].end.has_value());
+    BOOST_TEST(!orderReads[3].lastHolder.has_value());
+    BOOST_TEST((orderReads[3].intactFor <= std::chrono::steady_clock::now() - forgottenAt));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
