Ask only VMs for records of streams that know these asks

Members tell in heartbeats, summaries and their records that they know the asks, and get them only then.

The directory does not retain the records of older builds, so a read after a gap counts as incomplete while such VMs are known, and as long as a route allows after that.

--- a/include/plantainpoint/relay.hpp
+++ b/include/plantainpoint/relay.hpp
@@ -256,6 +256,7 @@
     std::string address; // IP:PORT for heartbeats, summaries and state transfer.
     data_centre_name dataCentre;
     std::int64_t capacity = 0; // Thousandths of a processor core.
+    bool keepsRecords = true; // The VM knows the asks for records of streams. Older builds do not.
 
     bool operator==(const fleet_member &) const = default;
 };
@@ -402,6 +403,7 @@
     std::string address;
     data_centre_name dataCentre;
     std::int64_t capacity = 0;
+    bool keepsRecords = true;
     bool leaving = false;
     vm_name follows; // Hub whose totals the VM uses. It is empty at a hub.
     directory_knowledge knowledge;
@@ -416,7 +418,7 @@
     std::vector<cold_endpoint> coldEndpoints; // Those that have lately said that they are cold.
     std::vector<evacuation> evacuations; // All that are known.
 
-    fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
+    fleet_member member() const { return {from.vm, address, dataCentre, capacity, keepsRecords}; }
 };
 
 enum class summary_scope : std::uint8_t {
@@ -438,6 +440,7 @@
     std::string address;
     data_centre_name dataCentre;
     std::int64_t capacity = 0;
+    bool keepsRecords = true;
     summary_scope scope = summary_scope::Brief;
     bool leaving = false;
     bool settled = false; // The hub has been one for long enough to have heard its VMs.
@@ -463,7 +466,7 @@
     std::uint64_t receiverIncarnation = 0;
     std::uint64_t acknowledged = 0;
 
-    fleet_member member() const { return {from.vm, address, dataCentre, capacity}; }
+    fleet_member member() const { return {from.vm, address, dataCentre, capacity, keepsRecords}; }
     // Returns whether the admissions are included.
     bool hasUsage() const { return scope != summary_scope::Brief || hasLoads; }
 };
--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -97,12 +97,16 @@
 
 json encodeMember(const fleet_member &member)
 {
-    return {member.vm.value, member.address, member.dataCentre.value, member.capacity};
+    return {member.vm.value, member.address, member.dataCentre.value, member.capacity, member.keepsRecords};
 }
 
 fleet_member decodeMember(const json &in)
 {
-    return {{in.at(0).get<std::string>()}, in.at(1).get<std::string>(), {in.at(2).get<std::string>()}, wholeNumber<std::int64_t>(in.at(3))};
+    return {{in.at(0).get<std::string>()},
+            in.at(1).get<std::string>(),
+            {in.at(2).get<std::string>()},
+            wholeNumber<std::int64_t>(in.at(3)),
+            in.size() > 4 && in.at(4).get<bool>()};
 }
 
 template<class Element, class Encode>
@@ -320,6 +324,7 @@
     heartbeatMessage.address = member.address;
     heartbeatMessage.dataCentre = member.dataCentre;
     heartbeatMessage.capacity = member.capacity;
+    heartbeatMessage.keepsRecords = member.keepsRecords;
     heartbeatMessage.leaving = in.at(4).get<bool>();
     heartbeatMessage.follows.value = in.at(5).get<std::string>();
     heartbeatMessage.knowledge = decodeKnowledge(in.at(6));
@@ -452,6 +457,7 @@
     summary.address = member.address;
     summary.dataCentre = member.dataCentre;
     summary.capacity = member.capacity;
+    summary.keepsRecords = member.keepsRecords;
     summary.leaving = in.at(4).get<bool>();
     summary.settled = in.at(5).get<bool>();
     summary.knowledge = decodeKnowledge(in.at(6));
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -562,7 +562,7 @@
     const auto seed = stableHash(m_members.self().vm.value);
     std::vector<std::pair<std::pair<bool, std::uint64_t>, fleet_member>> ordered;
     for (const auto &[vm, peer] : m_members.peers()) {
-        if (peer.mayRun(now)) {
+        if (peer.mayRun(now) && peer.info.keepsRecords) {
             ordered.push_back({{!peer.isHeard(now), stableHash(vm.value, seed)}, peer.info});
         }
     }
@@ -576,7 +576,7 @@
 {
     std::vector<fleet_member> out;
     for (const auto &[vm, peer] : m_members.peers()) {
-        if (peer.isLiveHub(now)) {
+        if (peer.isLiveHub(now) && peer.info.keepsRecords) {
             out.push_back(peer.info);
         }
     }
@@ -584,6 +584,11 @@
     return out;
 }
 
+bool fleet_view::hasOlderBuilds() const
+{
+    return std::any_of(m_members.peers().begin(), m_members.peers().end(), [](const auto &vmAndPeer) { return !vmAndPeer.second.info.keepsRecords; });
+}
+
 std::vector<data_centre_name> fleet_view::sharedDataCentres(time_point now) const
 {
     std::vector<data_centre_name> out;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -99,10 +99,12 @@
     const fleet_member &self() const { return m_members.self(); }
     // Returns the other VMs that are known and have not said that they leave.
     std::vector<fleet_member> otherMembers() const;
-    // Returns the other VMs that may be running, those that are heard first, and otherwise in an order that differs from VM to VM.
+    // Returns the other VMs that may be running and keep records, those that are heard first, and otherwise in an order that differs from VM to VM.
     std::vector<fleet_member> runningMembers(time_point now) const;
-    // Returns the other hubs that this VM hears, those of its own data centre first. Only hubs hear those of other data centres.
+    // Returns the other hubs that this VM hears and that keep records, those of its own data centre first. Only hubs hear those of other data centres.
     std::vector<fleet_member> liveHubs(time_point now) const;
+    // Returns whether other VMs run a build that does not know the asks for records of streams, or have lately.
+    bool hasOlderBuilds() const;
     bool isHub() const { return m_isHub; }
     // Returns the time for which this VM has been a hub and has heard all others, so that it has got all that they send to hubs.
     duration reachedFor(time_point now) const { return m_isHub ? now - m_reachedSince : duration{}; }
--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -382,6 +382,9 @@
     const auto now = m_components.clock.now();
     m_readOpen = false;
     m_components.versions.on(read, now);
+    if (read.all && m_components.fleet.hasOlderBuilds()) {
+        m_components.versions.onIncomplete(now); // The directory does not retain the records of older builds.
+    }
     for (const auto caller : std::exchange(m_openLookups, {})) {
         const auto found = m_entries.find(caller);
         if (found == m_entries.end() || !found->second->lookup) {
--- a/src/stream_versions.hpp
+++ b/src/stream_versions.hpp
@@ -93,6 +93,8 @@
     void on(const stream_records_read &read, time_point now);
     // Stores what this VM knows once more, as the directory has lost a part of its history.
     void onLost(time_point now);
+    // The directory may lack records.
+    void onIncomplete(time_point now) { m_lostAt = now; }
     // Takes over what another VM knows of the default versions.
     void onDefaults(const default_versions &defaults, time_point now);
     // Returns what other VMs are told, or nothing without a successful read.
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -235,7 +235,7 @@
     // An entry of an earlier version has an address only.
     const auto old = decodeMember("vm-2", R"({"address":"10.0.0.1:7500"})");
     BOOST_REQUIRE(old.has_value());
-    BOOST_TEST((*old == fleet_member{{"vm-2"}, "10.0.0.1:7500", {}, 0}));
+    BOOST_TEST((*old == fleet_member{{"vm-2"}, "10.0.0.1:7500", {}, 0, false}));
     BOOST_TEST(!decodeMember("vm-1", "{}"));
     BOOST_TEST(!decodeMember("vm-1", R"({"address":"nowhere"})"));
     BOOST_TEST(!decodeMember("vm-1", "\xff"));
