Tell that a VM knows the asks for records only where it does

Messages without the new element stay as they were before (unit/mixed_builds failed on the element in all messages).

--- a/shell/fleet_codec.cpp
+++ b/shell/fleet_codec.cpp
@@ -97,7 +97,11 @@
 
 json encodeMember(const fleet_member &member)
 {
-    return {member.vm.value, member.address, member.dataCentre.value, member.capacity, member.keepsRecords};
+    json out{member.vm.value, member.address, member.dataCentre.value, member.capacity};
+    if (member.keepsRecords) {
+        out.push_back(true);
+    }
+    return out;
 }
 
 fleet_member decodeMember(const json &in)
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -56,7 +56,7 @@
              .directPrefillLimit = settings.directPrefillLimit}
     , endpoints(stableHash(settings.self.vm.value))
     , evacuated(settings.evacuationBound)
-    , fleet({settings.self.vm, settings.peerAddress, settings.dataCentre, settings.capacity}, settings.self.number)
+    , fleet({settings.self.vm, settings.peerAddress, settings.dataCentre, settings.capacity, true}, settings.self.number)
     , ways(endpoints, fleet, stableHash(settings.self.vm.value))
     , limiter(settings.limitTolerance)
     , versions(clock.now())
